--- /dev/null
+++ b/packages/protocol/src/index.ts
@@ -0,0 +1,15 @@
+export {Importance, MAXIMUM_DEPTH, passesThreshold} from './context.js';
+export type {
+  CallContext,
+  ImportanceClass,
+  SheddingThreshold,
+} from './context.js';
+export type * from './control-messages.js';
+export type * from './frames.js';
+export {PROTOCOL_VERSION_MAXIMUM, PROTOCOL_VERSION_MINIMUM} from './frames.js';
+export {RefusalReason, UnknownReason} from './outcomes.js';
+export type {
+  ReasonAdvice,
+  RefusalReasonName,
+  UnknownReasonName,
+} from './outcomes.js';
--- /dev/null
+++ b/packages/runtime/src/hashing.ts
@@ -0,0 +1,42 @@
+import * as crypto from 'node:crypto';
+
+/** Returns the SHA-256 digest of `text` as lowercase hexadecimal digits. */
+export function sha256Hex(text: string | Uint8Array): string {
+  return crypto.createHash('sha256').update(text).digest('hex');
+}
+
+/**
+ * Returns a number in [0, 1) that depends only on `text` (FNV-1a with a
+ * final avalanche step). It is fast and well spread, and not cryptographic.
+ */
+export function unitHash(text: string): number {
+  let hash = 0x811c9dc5;
+  for (let index = 0; index < text.length; index++) {
+    hash = Math.imul(hash ^ text.charCodeAt(index), 0x01000193);
+  }
+  hash = Math.imul(hash ^ (hash >>> 16), 0x85ebca6b);
+  hash = Math.imul(hash ^ (hash >>> 13), 0xc2b2ae35);
+  return ((hash ^ (hash >>> 16)) >>> 0) / 0x1_0000_0000;
+}
+
+/**
+ * Orders `candidates` for `key` by highest random weight (rendezvous
+ * hashing): removing a candidate moves only the keys that it was first for.
+ */
+export function rendezvousOrder<T>(
+  key: string,
+  candidates: readonly T[],
+  identify: (candidate: T) => string,
+): T[] {
+  return candidates
+    .map(candidate => {
+      const identifier = identify(candidate);
+      return {candidate, identifier, weight: unitHash(`${identifier}|${key}`)};
+    })
+    .sort(
+      (left, right) =>
+        right.weight - left.weight ||
+        (left.identifier < right.identifier ? -1 : 1),
+    )
+    .map(entry => entry.candidate);
+}
--- /dev/null
+++ b/packages/runtime/src/index.ts
@@ -0,0 +1,15 @@
+export {ManualClock, SystemClock} from './clock.js';
+export type {Clock} from './clock.js';
+export {
+  BaseError,
+  ConfigurationError,
+  ConnectionError,
+  ProtocolError,
+  TimeoutError,
+} from './errors.js';
+export {rendezvousOrder, sha256Hex, unitHash} from './hashing.js';
+export {createLogger, LogLevel, silentLogger} from './logger.js';
+export type {LogFields, Logger, LogLevelName} from './logger.js';
+export {Metrics} from './metrics.js';
+export {randomIdentifier, randomInteger, SeededRandom} from './random.js';
+export type {RandomSource} from './random.js';
--- /dev/null
+++ b/packages/runtime/src/logger.ts
@@ -0,0 +1,50 @@
+import * as tslog from 'tslog';
+
+export const LogLevel = {
+  debug: 2,
+  info: 3,
+  warn: 4,
+  error: 5,
+} as const;
+export type LogLevelName = keyof typeof LogLevel;
+
+/** Fields of one log line; values must be serializable as JSON. */
+export type LogFields = Readonly<Record<string, unknown>>;
+
+/** Writes one JSON line per event. `event` is a stable name in kebab case. */
+export interface Logger {
+  debug(event: string, fields?: LogFields): void;
+  info(event: string, fields?: LogFields): void;
+  warn(event: string, fields?: LogFields): void;
+  error(event: string, fields?: LogFields): void;
+}
+
+/** Creates a logger that writes JSON lines to standard error. */
+export function createLogger(
+  name: string,
+  minimumLevel: LogLevelName = 'info',
+): Logger {
+  const sink = new tslog.Logger<{event: string}>({
+    name,
+    type: 'json',
+    minLevel: LogLevel[minimumLevel],
+    hideLogPositionForProduction: true,
+    overwrite: {
+      transportJSON: line => process.stderr.write(`${JSON.stringify(line)}\n`),
+    },
+  });
+  return {
+    debug: (event, fields) => void sink.debug({event, ...fields}),
+    info: (event, fields) => void sink.info({event, ...fields}),
+    warn: (event, fields) => void sink.warn({event, ...fields}),
+    error: (event, fields) => void sink.error({event, ...fields}),
+  };
+}
+
+/** A logger that drops every event. */
+export const silentLogger: Logger = {
+  debug: () => undefined,
+  info: () => undefined,
+  warn: () => undefined,
+  error: () => undefined,
+};
--- /dev/null
+++ b/packages/runtime/src/test/runtime_test.ts
@@ -0,0 +1,47 @@
+import test from 'ava';
+import * as runtime from '../index.js';
+
+const rendezvousCases = [
+  {removed: 'host-a', seed: 1},
+  {removed: 'host-c', seed: 2},
+];
+for (const {removed, seed} of rendezvousCases) {
+  test(`removing ${removed} moves only the keys it was first for`, t => {
+    const hosts = ['host-a', 'host-b', 'host-c', 'host-d'];
+    const random = new runtime.SeededRandom(seed);
+    const identify = (host: string) => host;
+    for (let index = 0; index < 200; index++) {
+      const key = runtime.randomIdentifier(random, 4);
+      const before = runtime.rendezvousOrder(key, hosts, identify)[0];
+      const rest = hosts.filter(host => host !== removed);
+      const after = runtime.rendezvousOrder(key, rest, identify)[0];
+      if (before !== removed) t.is(after, before);
+      else t.not(after, removed);
+    }
+  });
+}
+
+test('virtual time wakes waiters in due order and stops at the end', async t => {
+  const clock = new runtime.ManualClock();
+  const woken: string[] = [];
+  for (const [name, dueMs] of [
+    ['late', 30],
+    ['early', 10],
+    ['never', 31],
+  ] as const) {
+    void clock
+      .delay(dueMs)
+      .then(() => woken.push(`${name}@${clock.monotonicMs()}`));
+  }
+  await clock.advance(30);
+  t.deepEqual(woken, ['early@10', 'late@30']);
+});
+
+test('an aborted delay resolves without time moving', async t => {
+  const clock = new runtime.ManualClock();
+  const controller = new AbortController();
+  const waiting = clock.delay(1_000, controller.signal);
+  controller.abort();
+  await waiting;
+  t.is(clock.monotonicMs(), 0);
+});
