--- a/packages/ownership/src/index.ts
+++ b/packages/ownership/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export type * from './interfaces.js';
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -1,1 +1,1 @@
-export {};
+export type * from './peer-interfaces.js';
