Add stand-ins for platform, backend server and callers

The demo and the tests need outside systems that can fail on request. Result of npx ava 'packages/stand-ins/lib/test/*_test.js': 11 tests passed.

--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -1,1 +1,16 @@
-export {};
+export {BackendServerStandIn} from './backend-server.js';
+export type {
+  BackendServerReport,
+  BackendServerStandInOptions,
+  DownstreamCall,
+} from './backend-server.js';
+export {LoadGenerator} from './load-generator.js';
+export type {
+  LoadGeneratorOptions,
+  LoadOrganisation,
+  LoadRequest,
+} from './load-generator.js';
+export {LoadResults} from './load-results.js';
+export type {LatencySummary, LoadOutcome, LoadSample} from './load-results.js';
+export {PlatformStandIn} from './platform.js';
+export type {PlatformMode, PlatformStandInOptions} from './platform.js';
--- /dev/null
+++ b/packages/stand-ins/src/load-results.ts
@@ -0,0 +1,100 @@
+import * as hdrHistogram from 'hdr-histogram-js';
+
+/** How one exchange ended for the client. */
+export interface LoadOutcome {
+  readonly kind:
+    | 'completed'
+    | 'notRun'
+    | 'unknown'
+    /** The backend server answered with an error status. */
+    | 'failed'
+    | 'transportError'
+    /** The answer is truncated or belongs to another request. */
+    | 'wrongAnswer';
+  readonly reason: string;
+}
+
+export interface LoadSample {
+  readonly organisation: string;
+  readonly importance: number;
+  readonly service: string;
+  readonly outcome: LoadOutcome;
+  readonly latencyMs: number;
+  /** False for repeats by the client. */
+  readonly first: boolean;
+}
+
+/** Latency quantiles of completed requests, in milliseconds. */
+export interface LatencySummary {
+  readonly count: number;
+  readonly p50: number;
+  readonly p99: number;
+  readonly p999: number;
+  readonly maximum: number;
+}
+
+type Counts = Record<string, number>;
+
+/** Results of a load run. */
+export class LoadResults {
+  elapsedMs = 0;
+  /** Arrivals dropped by the generator itself because of its own bound. */
+  notSent = 0;
+  /** Exchanges by outcome and reason, for example `notRun/overloaded`. */
+  readonly outcomes: Counts = {};
+  readonly perOrganisation: Record<string, Counts> = {};
+  readonly perImportance: Record<string, Counts> = {};
+  readonly perService: Record<string, Counts> = {};
+  private readonly histogram = hdrHistogram.build({
+    lowestDiscernibleValue: 1,
+    highestTrackableValue: 3_600_000_000,
+    numberOfSignificantValueDigits: 3,
+  });
+
+  record(sample: LoadSample): void {
+    const {outcome} = sample;
+    const name =
+      outcome.kind === 'completed'
+        ? outcome.kind
+        : `${outcome.kind}/${outcome.reason}`;
+    add(this.outcomes, name);
+    for (const [table, key] of [
+      [this.perOrganisation, sample.organisation],
+      [this.perImportance, String(sample.importance)],
+      [this.perService, sample.service],
+    ] as const) {
+      const counts = (table[key] ??= {});
+      add(counts, name);
+      add(counts, sample.first ? 'requests' : 'repeats');
+    }
+    if (outcome.kind === 'completed') {
+      // Microseconds, as the histogram holds integers.
+      this.histogram.recordValue(
+        Math.max(1, Math.round(sample.latencyMs * 1_000)),
+      );
+    }
+  }
+
+  /** Number of exchanges that ended with this kind of outcome. */
+  count(kind: LoadOutcome['kind']): number {
+    return Object.entries(this.outcomes)
+      .filter(([name]) => name === kind || name.startsWith(`${kind}/`))
+      .reduce((sum, [, count]) => sum + count, 0);
+  }
+
+  latency(): LatencySummary {
+    const at = (percentile: number) =>
+      this.histogram.getValueAtPercentile(percentile) / 1_000;
+    return {
+      count: this.histogram.totalCount,
+      p50: at(50),
+      p99: at(99),
+      p999: at(99.9),
+      maximum: this.histogram.maxValue / 1_000,
+    };
+  }
+}
+
+function add(counts: Counts, name: string): void {
+  counts[name] = (counts[name] ?? 0) + 1;
+}
--- /dev/null
+++ b/packages/stand-ins/src/test/stand-ins_test.ts
@@ -0,0 +1,179 @@
+import * as runtime from '@camphorwharf/runtime';
+import test from 'ava';
+import * as http from 'node:http';
+import * as undici from 'undici';
+import * as standIns from '../index.js';
+import * as loadResults from '../load-results.js';
+import * as slots from '../slots.js';
+
+interface Revised {
+  readonly revision: number;
+}
+
+async function read(port: number, path: string): Promise<Revised | number> {
+  const answer = await undici.request(`http://127.0.0.1:${port}${path}`);
+  if (answer.statusCode !== 200) {
+    await answer.body.dump();
+    return answer.statusCode;
+  }
+  return (await answer.body.json()) as Revised;
+}
+
+// Guards against a platform stand-in that shows readers what its mode hides.
+const modeCases = [
+  {mode: 'up', expected: 2},
+  {mode: 'stale', expected: 1},
+  {mode: 'down', expected: 'error'},
+] as const;
+for (const {mode, expected} of modeCases) {
+  test(`a platform in mode ${mode} serves revision ${expected}`, async t => {
+    const platform = new standIns.PlatformStandIn();
+    const port = await platform.listen();
+    platform.publishDocument(1, '{}');
+    platform.setMode(mode);
+    platform.publishDocument(2, '{}');
+    const path = '/v1/document?after=0&wait=0';
+    if (expected === 'error') {
+      await t.throwsAsync(read(port, path));
+    } else {
+      const answer = await read(port, path);
+      t.like(answer as Revised, {revision: expected});
+      t.is(await read(port, `/v1/document?after=${expected}&wait=0`), 304);
+      t.is(platform.readCount, 2);
+    }
+    await platform.close();
+  });
+}
+
+test('a waiting read is answered by the next publication', async t => {
+  const platform = new standIns.PlatformStandIn();
+  const port = await platform.listen();
+  const waiting = read(port, '/v1/hosts?after=0&wait=60000');
+  platform.publishHosts([]);
+  t.like((await waiting) as Revised, {revision: 1});
+  await platform.close();
+});
+
+// Guards against a slot that leaks when a queued request is cancelled.
+test('a slot pool queues, refuses above its limit and drops aborted requests', async t => {
+  const pool = new slots.SlotPool(1, 2);
+  const cancelled = new AbortController();
+  const never = new AbortController().signal;
+  t.is(await pool.take(never), 'taken');
+  const queued = pool.take(cancelled.signal);
+  t.is(await pool.take(never), 'full');
+  cancelled.abort();
+  t.is(await queued, 'aborted');
+  const next = pool.take(never);
+  pool.release();
+  t.is(await next, 'taken');
+  pool.release();
+  t.is(pool.running, 0);
+  t.is(pool.refused, 1);
+});
+
+test('a backend server counts runs, keys and requests that carry a key', async t => {
+  const backend = new standIns.BackendServerStandIn({
+    service: 'billing',
+    slots: 2,
+    connectionLimit: 4,
+    serviceTimeMs: 1,
+    seed: 1,
+  });
+  const url = `http://127.0.0.1:${await backend.listen()}`;
+  for (const headers of [
+    {
+      'idempotency-key': '1-a',
+      'camphorwharf-organisation': 'sahab',
+      'camphorwharf-request-id': 'r1',
+    },
+    {
+      'idempotency-key': '1-a',
+      'camphorwharf-organisation': 'sahab',
+      'camphorwharf-request-id': 'r1',
+      'authorization': 'Bearer k',
+    },
+  ]) {
+    const answer = await undici.request(`${url}/invoices`, {
+      method: 'POST',
+      headers,
+    });
+    t.is(answer.statusCode, 200);
+    await answer.body.dump();
+  }
+  const report = backend.report();
+  t.deepEqual(report.runsPerIdempotencyKey, {'sahab|1-a': 2});
+  t.deepEqual(report.duplicateRequestIds, ['r1']);
+  t.true(report.sawAuthorization);
+  t.is(report.completed, 2);
+  await backend.close();
+});
+
+// Guards against a load generator that accepts an answer to another request.
+const answerCases = [
+  {answer: 'echo', expected: 'completed'},
+  {answer: 'other', expected: 'wrongAnswer'},
+  {answer: 'truncated', expected: 'wrongAnswer'},
+  {answer: 'refused', expected: 'notRun'},
+] as const;
+for (const {answer, expected} of answerCases) {
+  test(`the load generator reports ${expected} for an answer that is ${answer}`, async t => {
+    const server = http.createServer((request, response) => {
+      const path = answer === 'other' ? '/other' : request.url;
+      const text = JSON.stringify({path, bodyDigest: runtime.sha256Hex('')});
+      if (answer === 'refused') {
+        response.writeHead(503, {
+          'camphorwharf-outcome': 'not-run',
+          'camphorwharf-reason': 'overloaded',
+        });
+      }
+      response.end(answer === 'truncated' ? text.slice(0, -2) : text);
+    });
+    const port = await new Promise<number>(resolve => {
+      server.listen(0, '127.0.0.1', () =>
+        resolve((server.address() as {port: number}).port),
+      );
+    });
+    const results = await new standIns.LoadGenerator({
+      entryUrls: [`http://127.0.0.1:${port}`],
+      organisations: [{name: 'teranga', key: 'k', weight: 1}],
+      requests: [
+        {
+          service: 'catalogue',
+          method: 'GET',
+          path: '/parts',
+          weight: 1,
+          importance: 2,
+        },
+      ],
+      requestsPerSecond: 500,
+      durationMs: 40,
+      seed: 3,
+    }).run();
+    const total = results.perOrganisation['teranga']?.['requests'] ?? 0;
+    t.true(total > 0);
+    t.is(results.count(expected), total);
+    server.closeAllConnections();
+    server.close();
+  });
+}
+
+test('load results count repeats apart from requests', t => {
+  const results = new loadResults.LoadResults();
+  for (const first of [true, false]) {
+    results.record({
+      organisation: 'teranga',
+      importance: 0,
+      service: 'billing',
+      outcome: {kind: 'unknown', reason: 'answerLost'},
+      latencyMs: 4,
+      first,
+    });
+  }
+  t.deepEqual(results.perOrganisation['teranga'], {
+    'unknown/answerLost': 2,
+    'requests': 1,
+    'repeats': 1,
+  });
+  t.is(results.latency().count, 0);
+});
