Add parsing, the published document and the document index

The packages on the call path need a document to resolve routes, keys and policies, and operators need problems with a position and a remedy.

Declarations are read from TOML item by item, so that one invalid item does not hide the problems of the others; references, uniqueness and sums are checked over all items.

--- a/packages/declaration/src/index.ts
+++ b/packages/declaration/src/index.ts
@@ -11,5 +11,22 @@
   Selector,
   Service,
 } from './document.js';
+export {DocumentIndex} from './document-index.js';
 export {HostState} from './host-list.js';
 export type {HostEntry, HostList, HostStateName} from './host-list.js';
+export {parseDeclaration} from './parse-declaration.js';
+export type {ParsedDeclaration} from './parse-declaration.js';
+export type {ServicePolicy, SettingSource} from './policy-resolution.js';
+export {formatProblem} from './problem.js';
+export type {Problem} from './problem.js';
+export {
+  compile,
+  documentDigest,
+  MAXIMUM_DOCUMENT_BYTES,
+  parsePublishedDocument,
+  serializeDocument,
+} from './published-document.js';
+export type {ParsedDocument} from './published-document.js';
+export type {Declaration} from './sections.js';
+export {formatSelector} from './selector.js';
+export type {SelectorEvaluation} from './selector.js';
--- /dev/null
+++ b/packages/declaration/src/selector.ts
@@ -0,0 +1,123 @@
+import type * as documents from './document.js';
+
+/** Label names that a call carries by itself; no item may set them. */
+export const RESERVED_LABELS = ['service', 'route', 'organisation'] as const;
+
+/** Deepest nesting of a selector; evaluation recurses to this depth. */
+export const MAXIMUM_SELECTOR_DEPTH = 16;
+
+/** Labels of one call, by name. */
+export type CallLabels = ReadonlyMap<string, string>;
+
+/** How a selector came to its result, with the results of its operands. */
+export interface SelectorEvaluation {
+  readonly selector: documents.Selector;
+  readonly matches: boolean;
+  /** Value of the label that `in`, `notIn` or `exists` looked at. */
+  readonly labelValue: string | null;
+  readonly operands: readonly SelectorEvaluation[];
+}
+
+/**
+ * Collects the labels that policies see for a call: the labels of its service,
+ * route and organisation, and the reserved names. Validation gives each label
+ * name to only one kind of item, so that the order of the union has no effect.
+ * `route` is null for the settings of a service as a whole.
+ */
+export function labelsOfCall(
+  serviceName: string,
+  service: documents.Service | null,
+  route: documents.Route | null,
+  organisation: documents.Organisation | null,
+): CallLabels {
+  const labels = new Map<string, string>();
+  for (const item of [service, route, organisation]) {
+    if (item === null) continue;
+    for (const [name, value] of Object.entries(item.labels)) {
+      labels.set(name, value);
+    }
+  }
+  labels.set('service', serviceName);
+  if (route !== null) labels.set('route', route.name);
+  if (organisation !== null) labels.set('organisation', organisation.name);
+  return labels;
+}
+
+/** Reports whether the selector selects a call; `notIn` selects absent labels. */
+export function selectorMatches(
+  selector: documents.Selector,
+  labels: CallLabels,
+): boolean {
+  switch (selector.kind) {
+    case 'in': {
+      const value = labels.get(selector.label);
+      return value !== undefined && selector.values.includes(value);
+    }
+    case 'notIn': {
+      const value = labels.get(selector.label);
+      return value === undefined || !selector.values.includes(value);
+    }
+    case 'exists':
+      return labels.has(selector.label);
+    case 'not':
+      return !selectorMatches(selector.operand, labels);
+    case 'and':
+      return selector.operands.every(operand =>
+        selectorMatches(operand, labels),
+      );
+    case 'or':
+      return selector.operands.some(operand =>
+        selectorMatches(operand, labels),
+      );
+  }
+}
+
+/** Evaluates every part of a selector, for explanations. */
+export function evaluateSelector(
+  selector: documents.Selector,
+  labels: CallLabels,
+): SelectorEvaluation {
+  const operands = operandsOf(selector).map(operand =>
+    evaluateSelector(operand, labels),
+  );
+  const labelValue =
+    'label' in selector ? (labels.get(selector.label) ?? null) : null;
+  const matches = selectorMatches(selector, labels);
+  return {selector, matches, labelValue, operands};
+}
+
+/** The direct operands of `not`, `and` and `or`. */
+export function operandsOf(
+  selector: documents.Selector,
+): readonly documents.Selector[] {
+  switch (selector.kind) {
+    case 'not':
+      return [selector.operand];
+    case 'and':
+    case 'or':
+      return selector.operands;
+    case 'in':
+    case 'notIn':
+    case 'exists':
+      return [];
+  }
+}
+
+/** Writes a selector on one line. */
+export function formatSelector(selector: documents.Selector): string {
+  switch (selector.kind) {
+    case 'in':
+      return `${selector.label} in [${selector.values.join(', ')}]`;
+    case 'notIn':
+      return `${selector.label} not in [${selector.values.join(', ')}]`;
+    case 'exists':
+      return `${selector.label} exists`;
+    case 'not':
+      return `not (${formatSelector(selector.operand)})`;
+    case 'and':
+    case 'or':
+      return selector.operands
+        .map(operand => `(${formatSelector(operand)})`)
+        .join(` ${selector.kind} `);
+  }
+}
--- /dev/null
+++ b/packages/declaration/src/toml-lines.ts
@@ -0,0 +1,189 @@
+import type * as problems from './problem.js';
+
+/**
+ * Lines of the keys, table headers and list elements of a TOML text. The text
+ * must have been accepted by the TOML parser; that parser reports no positions
+ * for the values of a valid text.
+ */
+export class TomlLines {
+  readonly #lines = new Map<string, number>();
+  readonly #tableCounts = new Map<string, number>();
+  readonly #text: string;
+  #position = 0;
+  #line = 1;
+
+  constructor(text: string) {
+    this.#text = text;
+    this.#readDocument();
+  }
+
+  /** The line of the value, or of the closest table or list around it. */
+  lineOf(path: readonly problems.PathSegment[]): number | null {
+    for (let length = path.length; length > 0; length--) {
+      const line = this.#lines.get(keyOf(path.slice(0, length)));
+      if (line !== undefined) return line;
+    }
+    return null;
+  }
+
+  #readDocument(): void {
+    let table: problems.PathSegment[] = [];
+    for (;;) {
+      this.#skipSpace();
+      const character = this.#text[this.#position];
+      if (character === undefined) return;
+      if (character === '[') {
+        table = this.#readHeader();
+      } else {
+        this.#readKeyValue(table);
+      }
+    }
+  }
+
+  #readHeader(): problems.PathSegment[] {
+    const isArray = this.#text[this.#position + 1] === '[';
+    this.#advance(isArray ? 2 : 1);
+    const names = this.#readKey();
+    this.#advance(isArray ? 2 : 1);
+    const path: problems.PathSegment[] = [];
+    names.forEach((name, index) => {
+      path.push(name);
+      const key = keyOf(path);
+      const count = this.#tableCounts.get(key);
+      if (isArray && index === names.length - 1) {
+        this.#tableCounts.set(key, (count ?? 0) + 1);
+        path.push(count ?? 0);
+      } else if (count !== undefined) {
+        // A header below a list of tables belongs to its last element.
+        path.push(count - 1);
+      }
+    });
+    this.#note(path);
+    return path;
+  }
+
+  #readKeyValue(table: readonly problems.PathSegment[]): void {
+    const start = this.#position;
+    const path = [...table, ...this.#readKey()];
+    this.#note(path);
+    this.#skipSpace();
+    if (this.#text[this.#position] === '=') this.#advance(1);
+    this.#readValue(path);
+    // Guarantees progress on a text that the parser should have refused.
+    if (this.#position === start) this.#advance(1);
+  }
+
+  #readKey(): string[] {
+    const names: string[] = [];
+    for (;;) {
+      this.#skipSpace();
+      const character = this.#text[this.#position];
+      if (character === '"' || character === "'") {
+        const start = this.#position + 1;
+        this.#readString();
+        names.push(this.#text.slice(start, this.#position - 1));
+      } else {
+        const start = this.#position;
+        while (/[A-Za-z0-9_-]/.test(this.#text[this.#position] ?? '')) {
+          this.#advance(1);
+        }
+        names.push(this.#text.slice(start, this.#position));
+      }
+      this.#skipSpace();
+      if (this.#text[this.#position] !== '.') return names;
+      this.#advance(1);
+    }
+  }
+
+  #readValue(path: readonly problems.PathSegment[]): void {
+    this.#skipSpace();
+    const character = this.#text[this.#position];
+    if (character === '"' || character === "'") {
+      this.#readString();
+    } else if (character === '[' || character === '{') {
+      this.#readContainer(path, character === '[' ? ']' : '}');
+    } else {
+      while (/[^\s,\]}#]/.test(this.#text[this.#position] ?? ' ')) {
+        this.#advance(1);
+      }
+    }
+  }
+
+  #readContainer(
+    path: readonly problems.PathSegment[],
+    close: ']' | '}',
+  ): void {
+    this.#advance(1);
+    for (let index = 0; ;) {
+      this.#skipSpace();
+      const character = this.#text[this.#position];
+      if (character === undefined) return;
+      if (character === close) {
+        this.#advance(1);
+        return;
+      }
+      if (character === ',') {
+        this.#advance(1);
+      } else if (close === '}') {
+        this.#readKeyValue(path);
+      } else {
+        const element = [...path, index++];
+        this.#note(element);
+        this.#readValue(element);
+      }
+    }
+  }
+
+  #readString(): void {
+    const quote = this.#text[this.#position] ?? '"';
+    const triple = quote.repeat(3);
+    const isMultiLine = this.#text.startsWith(triple, this.#position);
+    const end = isMultiLine ? triple : quote;
+    this.#advance(end.length);
+    while (this.#position < this.#text.length) {
+      if (quote === '"' && this.#text[this.#position] === '\\') {
+        this.#advance(2);
+      } else if (this.#text.startsWith(end, this.#position)) {
+        this.#advance(end.length);
+        // A multi-line string may end with up to two quotes of its own.
+        while (isMultiLine && this.#text[this.#position] === quote) {
+          this.#advance(1);
+        }
+        return;
+      } else {
+        this.#advance(1);
+      }
+    }
+  }
+
+  /** Skips white space, line ends and comments. */
+  #skipSpace(): void {
+    for (;;) {
+      const character = this.#text[this.#position];
+      if (character === '#') {
+        const end = this.#text.indexOf('\n', this.#position);
+        this.#position = end === -1 ? this.#text.length : end;
+      } else if (character !== undefined && /\s/.test(character)) {
+        this.#advance(1);
+      } else {
+        return;
+      }
+    }
+  }
+
+  #advance(count: number): void {
+    for (let step = 0; step < count; step++) {
+      if (this.#text[this.#position] === '\n') this.#line++;
+      this.#position++;
+    }
+  }
+
+  #note(path: readonly problems.PathSegment[]): void {
+    const key = keyOf(path);
+    if (!this.#lines.has(key)) this.#lines.set(key, this.#line);
+  }
+}
+
+function keyOf(path: readonly problems.PathSegment[]): string {
+  return path.join('\0');
+}
