Add the coordination tasks and clients

The daemon needs configuration spread, membership, target choice and the clients of owned state. Adds one class for each, coded against the shared interfaces with injected factories.

--- /dev/null
+++ b/packages/coordination/src/cell-task.ts
@@ -0,0 +1,274 @@
+import type * as declaration from '@camphorwharf/declaration';
+import type * as ownership from '@camphorwharf/ownership';
+import type * as protocol from '@camphorwharf/protocol';
+import * as runtime from '@camphorwharf/runtime';
+import type * as transport from '@camphorwharf/transport';
+import * as cellPings from './cell-pings.js';
+import type * as configurationStore from './configuration-store.js';
+import type * as hostDirectory from './host-directory.js';
+import type * as extensions from './message-extensions.js';
+import * as ownedState from './owned-state.js';
+import * as peerExchange from './peer-exchange.js';
+import * as topology from './topology.js';
+import * as viewExchange from './view-exchange.js';
+
+/** Interval at which listed hosts are taken over and views are proposed. */
+const MAINTENANCE_INTERVAL_MS = 250;
+
+/**
+ * A hand-over is sent within this time after the state was taken. Later its
+ * bucket levels could overlap with what the next owner has filled itself.
+ */
+const HAND_OVER_LIMIT_MS = 1_500;
+
+const HAND_OVER_RETRY_MS = 100;
+
+export interface CellTaskOptions {
+  readonly self: declaration.HostEntry;
+  readonly identity: protocol.MemberIdentity;
+  readonly store: configurationStore.ConfigurationStore;
+  readonly directory: hostDirectory.HostDirectory;
+  readonly peers: transport.PeerDirectory;
+  readonly createMembership: (
+    cell: string,
+    identity: protocol.MemberIdentity,
+    startedMs: number,
+  ) => ownership.CellMembership;
+  readonly createBuckets: () => ownership.BucketTable;
+  readonly createKeys: () => ownership.KeyTable;
+  readonly clock: runtime.Clock;
+  readonly random: runtime.RandomSource;
+  readonly logger: runtime.Logger;
+  readonly metrics: runtime.Metrics;
+}
+
+interface Cell {
+  readonly place: topology.CellPlace;
+  readonly membership: ownership.CellMembership;
+  readonly exchange: viewExchange.ViewExchange;
+  readonly state: ownedState.OwnedState;
+  readonly pings: cellPings.CellPings;
+}
+
+/** Requests that only an owner answers. */
+export type OwnerRequest =
+  | protocol.GrantRequest
+  | protocol.GrantReturn
+  | protocol.KeyClaim
+  | protocol.KeySettle
+  | protocol.BucketHandOver
+  | protocol.KeyHandOver;
+
+/** This host's part in its cell: view agreement, owned buckets and keys. */
+export class CellTask {
+  private cell: Cell | null = null;
+  /**
+   * Cells of this process by name. A member keeps its view when the number of
+   * cells changes back, because it must never return to a lower view.
+   */
+  private readonly cells = new Map<string, Cell>();
+  private organisations = new WeakMap<
+    declaration.PublishedDocument,
+    ReadonlyMap<string, declaration.Organisation>
+  >();
+  private leaving = false;
+
+  constructor(private readonly options: CellTaskOptions) {}
+
+  /** The membership of this host in its cell; null before it has one. */
+  get membership(): ownership.CellMembership | null {
+    return this.cell?.membership ?? null;
+  }
+
+  /** Runs until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    const {clock} = this.options;
+    while (!signal.aborted) {
+      this.maintain(clock.monotonicMs());
+      await clock.delay(MAINTENANCE_INTERVAL_MS, signal);
+    }
+    this.cell?.pings.setHosts([]);
+  }
+
+  /** The owner of a shard as this host knows it; null outside its own cell. */
+  ownerOf(
+    place: topology.CellPlace,
+    shard: string,
+  ): protocol.MemberIdentity | null {
+    if (this.cell?.membership.cell !== topology.cellName(place)) return null;
+    return this.cell.membership.ownerOf(shard);
+  }
+
+  answerPing(
+    ping: extensions.CompactViewPing,
+    sender: protocol.MemberIdentity,
+    nowMs: number,
+  ): extensions.CompactViewAnswer | protocol.Unsupported {
+    const cell = this.cell;
+    if (!cell || cell.membership.cell !== ping.cell) {
+      return {kind: 'unsupported'};
+    }
+    const {membership, exchange} = cell;
+    const whole = exchange.restorePing(ping, sender, membership.adopted);
+    const answer = membership.answerPing(
+      whole ?? {...ping, from: sender, view: null, active: false},
+      nowMs,
+    );
+    return exchange.compactAnswer(answer, ping, whole === null);
+  }
+
+  /** Answers `notOwner` unless this member may act for what is asked. */
+  answerOwnerRequest(body: OwnerRequest, nowMs: number): protocol.ControlReply {
+    const cell = this.cell;
+    if (!cell) return {kind: 'notOwner'};
+    const {membership, state} = cell;
+    const wallMs = this.options.clock.wallMs();
+    switch (body.kind) {
+      case 'grant':
+        return state.grant(body, membership, nowMs);
+      case 'grantReturn':
+        return state.giveBack(body, membership, nowMs);
+      case 'keyClaim':
+        return state.claim(body, membership, nowMs, wallMs);
+      case 'keySettle':
+        return state.settle(body, membership, nowMs);
+      case 'bucketHandOver':
+        if (body.cell !== membership.cell) return {kind: 'notOwner'};
+        return state.receiveBuckets(body, membership, nowMs);
+      case 'keyHandOver':
+        if (body.cell !== membership.cell) return {kind: 'notOwner'};
+        return state.receiveKeys(body, membership, nowMs, wallMs);
+    }
+  }
+
+  /**
+   * Leaves the cell for good: proposes a view without this member, makes it
+   * known and hands buckets and keys to their next owners. Resolves when this
+   * is done or the time for it has passed.
+   */
+  async leave(nowMs: number): Promise<void> {
+    if (this.leaving) return;
+    this.leaving = true;
+    const cell = this.cell;
+    if (!cell) return;
+    const handOvers = cell.state.leave(cell.membership, nowMs);
+    const endMs = nowMs + HAND_OVER_LIMIT_MS;
+    // The next owners accept a hand-over once they know the new view.
+    await Promise.all([
+      cell.pings.pingAll(this.peersOf(cell)),
+      ...handOvers.map(handOver => this.deliver(handOver, endMs)),
+    ]);
+  }
+
+  private maintain(nowMs: number): void {
+    this.enterCell(nowMs);
+    const cell = this.cell;
+    if (!cell) return;
+    const listed = this.options.directory.hostsOfCell(cell.place);
+    cell.membership.setListedHosts(
+      listed.map(host => host.hostId),
+      nowMs,
+    );
+    if (!this.leaving) cell.membership.proposeIfNeeded(nowMs);
+    cell.pings.setHosts(this.peersOf(cell));
+    this.options.metrics.gauge(
+      'cell_view_number',
+      'Number of the adopted view; 0 without a view',
+      cell.membership.adopted?.identity.number ?? 0,
+    );
+  }
+
+  /** Takes the cell that the document gives to this host. */
+  private enterCell(nowMs: number): void {
+    const {self, store, directory} = this.options;
+    const region = store.current?.document.regions.find(
+      ({name}) => name === self.region,
+    );
+    if (!region || this.leaving) return;
+    const place: topology.CellPlace = {
+      region: region.name,
+      index: directory.cellOf(self.hostId, region.cells),
+      count: region.cells,
+    };
+    const name = topology.cellName(place);
+    if (this.cell?.membership.cell === name) return;
+    this.cell?.pings.setHosts([]);
+    this.cell = this.cells.get(name) ?? this.createCell(place, nowMs);
+    this.cells.set(name, this.cell);
+    this.options.logger.info('cell-entered', {cell: name});
+  }
+
+  private createCell(place: topology.CellPlace, nowMs: number): Cell {
+    const {options} = this;
+    const membership = options.createMembership(
+      topology.cellName(place),
+      options.identity,
+      nowMs,
+    );
+    const exchange = new viewExchange.ViewExchange();
+    return {
+      place,
+      membership,
+      exchange,
+      state: new ownedState.OwnedState({
+        region: place.region,
+        buckets: options.createBuckets(),
+        keys: options.createKeys(),
+        document: () => options.store.current?.document ?? null,
+        organisation: name => this.organisation(name),
+      }),
+      pings: new cellPings.CellPings({...options, membership, exchange}),
+    };
+  }
+
+  private organisation(name: string): declaration.Organisation | null {
+    const document = this.options.store.current?.document;
+    if (!document) return null;
+    let byName = this.organisations.get(document);
+    if (!byName) {
+      byName = new Map(document.organisations.map(item => [item.name, item]));
+      this.organisations.set(document, byName);
+    }
+    return byName.get(name) ?? null;
+  }
+
+  /** Listed hosts of the cell and members of the adopted view. */
+  private peersOf(cell: Cell): string[] {
+    const hostIds = new Set([
+      ...this.options.directory
+        .hostsOfCell(cell.place)
+        .map(host => host.hostId),
+      ...(cell.membership.adopted?.members ?? []).map(member => member.hostId),
+    ]);
+    hostIds.delete(this.options.identity.hostId);
+    return [...hostIds];
+  }
+
+  private async deliver(
+    handOver: ownedState.HandOver,
+    endMs: number,
+  ): Promise<void> {
+    const {directory, peers, clock, logger, metrics} = this.options;
+    const host = directory.entry(handOver.to.hostId);
+    while (host && clock.monotonicMs() < endMs) {
+      try {
+        const reply = await peerExchange.requestOfHost(
+          peers,
+          host,
+          handOver.message,
+          Math.max(1, endMs - clock.monotonicMs()),
+        );
+        if (reply.kind === 'acknowledged') return;
+      } catch (error) {
+        // Sending it again is safe: the receiver keeps the first arrival.
+        logger.debug('hand-over-failed', {error: String(error)});
+      }
+      await clock.delay(HAND_OVER_RETRY_MS);
+    }
+    logger.warn('hand-over-lost', {to: handOver.to.hostId});
+    metrics.count(
+      'hand_overs_lost_total',
+      'Hand-overs that the next owner did not take; their tokens are lost',
+    );
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/configuration-task.ts
@@ -0,0 +1,302 @@
+import type * as declaration from '@camphorwharf/declaration';
+import type * as protocol from '@camphorwharf/protocol';
+import * as runtime from '@camphorwharf/runtime';
+import type * as transport from '@camphorwharf/transport';
+import * as compression from './compression.js';
+import type * as configurationStore from './configuration-store.js';
+import type * as hostDirectory from './host-directory.js';
+import type * as extensions from './message-extensions.js';
+import * as peerExchange from './peer-exchange.js';
+import type * as platformReader from './platform-reader.js';
+import * as platformWatch from './platform-watch.js';
+import * as relayPeers from './relay-peers.js';
+
+/** Interval at which revisions are compared with the relay peers. */
+export const DIGEST_INTERVAL_MS = 1_000;
+
+/** How long one exchange with a peer may take. */
+const EXCHANGE_TIMEOUT_MS = 900;
+
+/** How long the random relay peer is kept. */
+const RANDOM_PEER_MS = 10_000;
+
+/** Time without any answering peer after which the platform is read. */
+const ISOLATION_MS = 5_000;
+
+/** An address of a peer from the settings. */
+export interface SeedPeer {
+  readonly address: string;
+  readonly port: number;
+}
+
+export interface ConfigurationTaskOptions {
+  /** This daemon, as its settings describe it. */
+  readonly self: declaration.HostEntry;
+  readonly store: configurationStore.ConfigurationStore;
+  readonly directory: hostDirectory.HostDirectory;
+  readonly peers: transport.PeerDirectory;
+  readonly platform: platformReader.PlatformReader;
+  readonly seeds: readonly SeedPeer[];
+  /** Spread of platform reads by a daemon that has no peers. */
+  readonly fallbackSpreadMs?: number;
+  readonly clock: runtime.Clock;
+  readonly random: runtime.RandomSource;
+  readonly logger: runtime.Logger;
+  readonly metrics: runtime.Metrics;
+}
+
+/** Keeps document and host list equal to the newest that peers have. */
+export class ConfigurationTask {
+  private readonly watch: platformWatch.PlatformWatch;
+  private readonly documentCompressor = new compression.TextCompressor();
+  private readonly listCompressor = new compression.TextCompressor();
+  private relays: readonly declaration.HostEntry[] = [];
+  private relaysStale = true;
+  private randomPeer: declaration.HostEntry | null = null;
+  private randomPeerSinceMs = -Infinity;
+  private isReader = false;
+  private lastPeerAnswerMs: number;
+  private pulling = false;
+  private announceRequested: (() => void) | null = null;
+
+  constructor(private readonly options: ConfigurationTaskOptions) {
+    this.lastPeerAnswerMs = options.clock.monotonicMs();
+    this.watch = new platformWatch.PlatformWatch({
+      ...options,
+      role: nowMs => this.role(nowMs),
+      fallbackSpreadMs:
+        options.fallbackSpreadMs ??
+        (options.seeds.length > 0 ? platformWatch.FALLBACK_SPREAD_MS : 500),
+    });
+    options.store.onAdopted(() => this.announceRequested?.());
+    options.directory.onList(() => {
+      this.relaysStale = true;
+      this.announceRequested?.();
+    });
+  }
+
+  /** Runs until the signal aborts. */
+  async run(signal: AbortSignal): Promise<void> {
+    await Promise.all([this.watch.run(signal), this.exchangeLoop(signal)]);
+  }
+
+  /** Whether this daemon watches the platform for its availability zone. */
+  role(nowMs: number): platformWatch.ReadRole {
+    this.refreshRelays(nowMs);
+    if (this.isReader) return 'reader';
+    const {store, directory} = this.options;
+    const knowsNothing = !store.current || directory.hostList.revision === 0;
+    const isIsolated = nowMs - this.lastPeerAnswerMs > ISOLATION_MS;
+    return knowsNothing || isIsolated ? 'fallback' : 'none';
+  }
+
+  async answerDigest(
+    message: extensions.ConfigurationDigestWithHosts,
+    link: transport.PeerLink,
+  ): Promise<extensions.ConfigurationAnswerWithHosts> {
+    const {store, directory} = this.options;
+    if (
+      message.revision > store.revision ||
+      (message.hostListRevision ?? 0) > directory.hostList.revision
+    ) {
+      void this.pullFrom(link);
+    }
+    return this.createAnswer(message);
+  }
+
+  async answerPush(
+    message: protocol.ConfigurationPush,
+  ): Promise<extensions.ConfigurationAnswerWithHosts> {
+    const {store, clock} = this.options;
+    store.offer(message.revision, message.document, clock.monotonicMs());
+    return {
+      kind: 'configurationAnswer',
+      revision: store.revision,
+      digest: store.digest,
+      document: null,
+    };
+  }
+
+  private async createAnswer(
+    message: extensions.ConfigurationDigestWithHosts,
+  ): Promise<extensions.ConfigurationAnswerWithHosts> {
+    const {store, directory} = this.options;
+    const current = store.current;
+    const list = directory.hostList;
+    const newerDocument =
+      current && current.revision > message.revision ? current.text : null;
+    const isLarge =
+      newerDocument !== null &&
+      newerDocument.length > compression.COMPRESSION_THRESHOLD;
+    return {
+      kind: 'configurationAnswer',
+      revision: current?.revision ?? 0,
+      digest: current?.digest ?? '',
+      document: isLarge ? null : newerDocument,
+      ...(isLarge && {
+        compressedDocument:
+          await this.documentCompressor.compress(newerDocument),
+      }),
+      hostListRevision: list.revision,
+      ...(message.hostListRevision !== undefined &&
+        list.revision > message.hostListRevision && {
+          hostList: await this.listCompressor.compress(JSON.stringify(list)),
+        }),
+    };
+  }
+
+  private createDigest(): extensions.ConfigurationDigestWithHosts {
+    const {store, directory} = this.options;
+    return {
+      kind: 'configurationDigest',
+      revision: store.revision,
+      digest: store.digest,
+      hostListRevision: directory.hostList.revision,
+    };
+  }
+
+  /** Exchanges with the relay peers each second and after each adoption. */
+  private async exchangeLoop(signal: AbortSignal): Promise<void> {
+    const {clock, random, store} = this.options;
+    let pushedRevision = store.revision;
+    while (!signal.aborted) {
+      const nowMs = clock.monotonicMs();
+      this.refreshRelays(nowMs);
+      const pushes = store.revision > pushedRevision;
+      pushedRevision = store.revision;
+      const timer = new AbortController();
+      const wake = () => timer.abort();
+      this.announceRequested = wake;
+      signal.addEventListener('abort', wake, {once: true});
+      for (const partner of this.partners()) {
+        void this.exchange(partner, pushes);
+      }
+      // Jitter keeps daemons that started together from exchanging together.
+      const jitter = 0.9 + 0.2 * random.next();
+      await clock.delay(DIGEST_INTERVAL_MS * jitter, timer.signal);
+      signal.removeEventListener('abort', wake);
+      this.announceRequested = null;
+    }
+  }
+
+  private partners(): Array<declaration.HostEntry | SeedPeer> {
+    const {seeds, directory} = this.options;
+    const hosts = this.randomPeer
+      ? [...this.relays, this.randomPeer]
+      : this.relays;
+    if (hosts.length > 0 && directory.hostList.revision > 0) return [...hosts];
+    // Without a host list the peers from the settings are asked.
+    return [...seeds];
+  }
+
+  private async exchange(
+    partner: declaration.HostEntry | SeedPeer,
+    pushes: boolean,
+  ): Promise<void> {
+    const {store, logger} = this.options;
+    try {
+      const link = await this.connect(partner);
+      const current = store.current;
+      if (
+        pushes &&
+        current &&
+        current.text.length <= compression.COMPRESSION_THRESHOLD
+      ) {
+        await link.request(
+          {
+            kind: 'configurationPush',
+            revision: current.revision,
+            document: current.text,
+          },
+          EXCHANGE_TIMEOUT_MS,
+        );
+      }
+      await this.ask(link);
+    } catch (error) {
+      logger.debug('configuration-exchange-failed', {error: String(error)});
+    }
+  }
+
+  private async connect(
+    partner: declaration.HostEntry | SeedPeer,
+  ): Promise<transport.PeerLink> {
+    const {peers, directory, clock} = this.options;
+    if (!('hostId' in partner)) {
+      return peers.connect(partner.address, partner.port);
+    }
+    try {
+      return await peerExchange.connectToHost(peers, partner);
+    } catch (error) {
+      directory.noteUnreachable(partner.hostId, clock.monotonicMs());
+      this.relaysStale = true;
+      throw error;
+    }
+  }
+
+  /** Gets what a peer announced; one at a time, as announcements repeat. */
+  private async pullFrom(link: transport.PeerLink): Promise<void> {
+    if (this.pulling) return;
+    this.pulling = true;
+    try {
+      await this.ask(link);
+    } catch (error) {
+      this.options.logger.debug('configuration-pull-failed', {
+        error: String(error),
+      });
+    } finally {
+      this.pulling = false;
+    }
+  }
+
+  private async ask(link: transport.PeerLink): Promise<void> {
+    const reply = await link.request(this.createDigest(), EXCHANGE_TIMEOUT_MS);
+    if (reply.kind === 'configurationAnswer') await this.takeAnswer(reply);
+  }
+
+  private async takeAnswer(
+    answer: extensions.ConfigurationAnswerWithHosts,
+  ): Promise<void> {
+    const {store, directory, clock} = this.options;
+    this.lastPeerAnswerMs = clock.monotonicMs();
+    const text = answer.compressedDocument
+      ? await compression.decompress(answer.compressedDocument)
+      : answer.document;
+    if (text !== null) {
+      store.offer(answer.revision, text, clock.monotonicMs());
+    } else if (
+      answer.revision === store.revision &&
+      answer.digest !== store.digest
+    ) {
+      this.options.metrics.count(
+        'configuration_conflicts_total',
+        'Peers seen with another document under the same revision',
+      );
+    }
+    if (answer.hostList && (answer.hostListRevision ?? 0) > 0) {
+      const list = JSON.parse(
+        await compression.decompress(answer.hostList),
+      ) as declaration.HostList;
+      directory.offerList(list, clock.monotonicMs());
+    }
+  }
+
+  private refreshRelays(nowMs: number): void {
+    const {directory, random, self} = this.options;
+    if (nowMs - this.randomPeerSinceMs >= RANDOM_PEER_MS) {
+      this.relaysStale = true;
+    }
+    if (!this.relaysStale) return;
+    this.relaysStale = false;
+    const hosts = directory.stayingHosts(nowMs);
+    const others = hosts.filter(host => host.hostId !== self.hostId);
+    this.relays = relayPeers.chooseRelays(self, others);
+    this.randomPeer =
+      others[runtime.randomInteger(random, others.length)] ?? null;
+    this.randomPeerSinceMs = nowMs;
+    this.isReader = relayPeers.isReader(
+      self.hostId,
+      self.availabilityZone,
+      hosts,
+    );
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/control-request-handler.ts
@@ -0,0 +1,109 @@
+import type * as ownership from '@camphorwharf/ownership';
+import type * as protocol from '@camphorwharf/protocol';
+import type * as runtime from '@camphorwharf/runtime';
+import type * as transport from '@camphorwharf/transport';
+import type * as cellTask from './cell-task.js';
+import type * as configurationTask from './configuration-task.js';
+import type * as hostDirectory from './host-directory.js';
+
+/**
+ * How long a promise never to start a call is kept: the receiver refuses the
+ * call frame earlier, when its permission of 2 s has ended.
+ */
+export const TOMBSTONE_MS = 60_000;
+
+export interface ControlRequestHandlerOptions {
+  readonly incarnation: string;
+  readonly cell: Pick<cellTask.CellTask, 'answerPing' | 'answerOwnerRequest'>;
+  readonly configuration: Pick<
+    configurationTask.ConfigurationTask,
+    'answerDigest' | 'answerPush'
+  >;
+  readonly directory: Pick<
+    hostDirectory.HostDirectory,
+    'noteLeaving' | 'noteReachable'
+  >;
+  readonly startedCalls: ownership.StartedCalls;
+  readonly status: () => Readonly<Record<string, unknown>>;
+  readonly clock: runtime.Clock;
+  readonly metrics: runtime.Metrics;
+}
+
+/** Routes each control request of a peer to the part that answers it. */
+export class ControlRequestHandler {
+  constructor(private readonly options: ControlRequestHandlerOptions) {}
+
+  async handle(
+    body: protocol.ControlRequest,
+    link: transport.PeerLink,
+  ): Promise<protocol.ControlReply> {
+    const {cell, configuration, directory, clock, metrics} = this.options;
+    const nowMs = clock.monotonicMs();
+    const {hostId, incarnation} = link.remote;
+    metrics.count('control_requests_total', 'Control requests by kind', {
+      kind: body.kind,
+    });
+    directory.noteReachable(hostId, incarnation);
+    switch (body.kind) {
+      case 'viewPing':
+        return cell.answerPing(body, {hostId, incarnation}, nowMs);
+      case 'grant':
+      case 'grantReturn':
+      case 'keyClaim':
+      case 'keySettle':
+      case 'bucketHandOver':
+      case 'keyHandOver':
+        return cell.answerOwnerRequest(body, nowMs);
+      case 'cancelIfNotStarted':
+        return this.cancel(body, nowMs);
+      case 'configurationDigest':
+        return configuration.answerDigest(body, link);
+      case 'configurationPush':
+        return configuration.answerPush(body);
+      case 'leaving':
+        return this.noteLeaving(body, link.remote, nowMs);
+      case 'status':
+        return {kind: 'statusAnswer', status: this.options.status()};
+      default:
+        return unsupported(body);
+    }
+  }
+
+  private cancel(
+    body: protocol.CancelIfNotStarted,
+    nowMs: number,
+  ): protocol.CancelAnswer {
+    const {incarnation, startedCalls} = this.options;
+    if (body.incarnation !== incarnation) {
+      return {kind: 'cancelAnswer', verdict: 'otherIncarnation'};
+    }
+    const verdict = startedCalls.cancelIfNotStarted(
+      body.requestId,
+      body.attempt,
+      nowMs + TOMBSTONE_MS,
+      nowMs,
+    );
+    return {kind: 'cancelAnswer', verdict};
+  }
+
+  /** A host may only announce its own departure. */
+  private noteLeaving(
+    body: protocol.Leaving,
+    remote: protocol.Hello,
+    nowMs: number,
+  ): protocol.Acknowledged | protocol.Unsupported {
+    if (body.hostId !== remote.hostId) return {kind: 'unsupported'};
+    this.options.directory.noteLeaving(
+      remote.hostId,
+      remote.incarnation,
+      'notice',
+      nowMs,
+    );
+    return {kind: 'acknowledged'};
+  }
+}
+
+/** Newer peers may send kinds that this build does not know. */
+function unsupported(_body: never): protocol.Unsupported {
+  return {kind: 'unsupported'};
+}
--- /dev/null
+++ b/packages/coordination/src/departure-task.ts
@@ -0,0 +1,88 @@
+import type * as runtime from '@camphorwharf/runtime';
+import type * as transport from '@camphorwharf/transport';
+import type * as cellTask from './cell-task.js';
+import * as peerExchange from './peer-exchange.js';
+import type * as limitClient from './limit-client.js';
+
+const ANNOUNCE_TIMEOUT_MS = 500;
+
+const CHECK_INTERVAL_MS = 25;
+
+export interface DepartureTaskOptions {
+  readonly hostId: string;
+  /** Every open peer connection, in both directions. */
+  readonly links: () => Iterable<transport.PeerLink>;
+  readonly cell: Pick<cellTask.CellTask, 'leave'>;
+  readonly limits: Pick<limitClient.LimitClient, 'returnGrants'>;
+  /** Refuses new work from now on. */
+  readonly stopAccepting: () => void;
+  /** Calls that still run or wait on this host, in any role. */
+  readonly runningCalls: () => number;
+  readonly clock: runtime.Clock;
+  readonly logger: runtime.Logger;
+}
+
+export interface DepartureReport {
+  /** Peers that acknowledged the notice. */
+  readonly announcedTo: number;
+  readonly peers: number;
+  /** Calls that still ran at the end; 0 unless the time limit was reached. */
+  readonly unfinishedCalls: number;
+}
+
+/** A planned stop (design section 4.8). */
+export class DepartureTask {
+  private departure: Promise<DepartureReport> | null = null;
+
+  constructor(private readonly options: DepartureTaskOptions) {}
+
+  get isLeaving(): boolean {
+    return this.departure !== null;
+  }
+
+  /** Resolves when the process may end. Repeated calls join the first one. */
+  run(limitMs: number): Promise<DepartureReport> {
+    this.departure ??= this.depart(limitMs);
+    return this.departure;
+  }
+
+  private async depart(limitMs: number): Promise<DepartureReport> {
+    const {clock, logger, cell, limits, runningCalls} = this.options;
+    const endMs = clock.monotonicMs() + limitMs;
+    logger.info('departure-started', {runningCalls: runningCalls()});
+    const links = new Set(this.options.links());
+    const announcements = [...links].map(link => this.announce(link));
+    this.options.stopAccepting();
+    const announcedTo = (await Promise.all(announcements)).filter(
+      Boolean,
+    ).length;
+    const nowMs = clock.monotonicMs();
+    // Grants go back first, so that the levels handed over include them.
+    await limits.returnGrants(nowMs);
+    await cell.leave(clock.monotonicMs());
+    while (runningCalls() > 0 && clock.monotonicMs() < endMs) {
+      await clock.delay(CHECK_INTERVAL_MS);
+    }
+    const report = {
+      announcedTo,
+      peers: links.size,
+      unfinishedCalls: runningCalls(),
+    };
+    logger.info('departure-ended', report);
+    return report;
+  }
+
+  private async announce(link: transport.PeerLink): Promise<boolean> {
+    const {clock, hostId} = this.options;
+    try {
+      const reply = await peerExchange.withTimeLimit(
+        clock,
+        ANNOUNCE_TIMEOUT_MS,
+        link.request({kind: 'leaving', hostId}, ANNOUNCE_TIMEOUT_MS),
+      );
+      return reply?.kind === 'acknowledged';
+    } catch {
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/owned-state.ts
@@ -0,0 +1,278 @@
+import type * as declaration from '@camphorwharf/declaration';
+import type * as ownership from '@camphorwharf/ownership';
+import type * as protocol from '@camphorwharf/protocol';
+import type * as extensions from './message-extensions.js';
+import * as topology from './topology.js';
+
+export interface OwnedStateOptions {
+  readonly region: string;
+  readonly buckets: ownership.BucketTable;
+  readonly keys: ownership.KeyTable;
+  readonly document: () => declaration.PublishedDocument | null;
+  readonly organisation: (name: string) => OrganisationLimits | null;
+}
+
+/** Rate and burst of an organisation over the whole fleet. */
+export type OrganisationLimits = Pick<
+  declaration.Organisation,
+  'ratePerSecond' | 'burst'
+>;
+
+/** What an owner hands to the next owner of some of its shards. */
+export interface HandOver {
+  readonly to: protocol.MemberIdentity;
+  readonly message: protocol.BucketHandOver | protocol.KeyHandOver;
+}
+
+/** Serves the buckets and keys of this member while it may act as owner. */
+export class OwnedState {
+  constructor(private readonly options: OwnedStateOptions) {}
+
+  grant(
+    request: protocol.GrantRequest,
+    membership: ownership.CellMembership,
+    nowMs: number,
+  ): protocol.GrantAnswer | extensions.NotOwnerWithHint {
+    const {buckets} = this.options;
+    const limits = this.limitsOf(request.organisation);
+    const shard = topology.bucketShard(request.organisation);
+    if (!limits || !this.ownsBucket(request.organisation, membership)) {
+      return {kind: 'notOwner'};
+    }
+    const permission = membership.permission(shard, nowMs);
+    if (permission.kind === 'denied') return notOwner(membership, shard);
+    return buckets.grant(request, limits, permission.ownerSinceMs, nowMs);
+  }
+
+  giveBack(
+    request: protocol.GrantReturn,
+    membership: ownership.CellMembership,
+    nowMs: number,
+  ): protocol.Acknowledged | extensions.NotOwnerWithHint {
+    const shard = topology.bucketShard(request.organisation);
+    if (
+      !this.ownsBucket(request.organisation, membership) ||
+      membership.permission(shard, nowMs).kind === 'denied'
+    ) {
+      return notOwner(membership, shard);
+    }
+    this.options.buckets.giveBack(request, nowMs);
+    return {kind: 'acknowledged'};
+  }
+
+  claim(
+    request: protocol.KeyClaim,
+    membership: ownership.CellMembership,
+    nowMs: number,
+    nowWallMs: number,
+  ): protocol.KeyAnswer | extensions.NotOwnerWithHint {
+    const {keys} = this.options;
+    const shard = topology.keyShard(
+      request.organisation,
+      request.idempotencyKey,
+    );
+    if (!this.ownsKey(request, membership)) return {kind: 'notOwner'};
+    const permission = membership.permission(shard, nowMs);
+    if (permission.kind === 'denied') return notOwner(membership, shard);
+    return keys.claim(request, permission.ownerSinceMs, nowMs, nowWallMs);
+  }
+
+  settle(
+    request: protocol.KeySettle,
+    membership: ownership.CellMembership,
+    nowMs: number,
+  ): protocol.Acknowledged | extensions.NotOwnerWithHint {
+    const shard = topology.keyShard(
+      request.organisation,
+      request.idempotencyKey,
+    );
+    if (
+      !this.ownsKey(request, membership) ||
+      membership.permission(shard, nowMs).kind === 'denied'
+    ) {
+      return notOwner(membership, shard);
+    }
+    this.options.keys.settle(request, nowMs);
+    return {kind: 'acknowledged'};
+  }
+
+  /**
+   * Takes bucket levels of the direct predecessor. A member that already acts
+   * for a shard has filled its bucket since; adding the level would exceed the
+   * burst.
+   */
+  receiveBuckets(
+    message: protocol.BucketHandOver,
+    membership: ownership.CellMembership,
+    nowMs: number,
+  ): protocol.Acknowledged | protocol.NotOwner {
+    const accepted = message.buckets.filter(({organisation}) => {
+      const shard = topology.bucketShard(organisation);
+      return (
+        isOwnerInView(membership, shard) &&
+        membership.permission(shard, nowMs).kind === 'denied'
+      );
+    });
+    for (const {organisation, tokens} of accepted) {
+      this.options.buckets.receiveHandOver(organisation, tokens, nowMs);
+    }
+    return accepted.length === message.buckets.length
+      ? {kind: 'acknowledged'}
+      : {kind: 'notOwner'};
+  }
+
+  receiveKeys(
+    message: protocol.KeyHandOver,
+    membership: ownership.CellMembership,
+    nowMs: number,
+    nowWallMs: number,
+  ): protocol.Acknowledged | protocol.NotOwner {
+    const records = message.records.filter(record =>
+      isOwnerInView(
+        membership,
+        topology.keyShard(record.organisation, record.idempotencyKey),
+      ),
+    );
+    this.options.keys.receiveHandOver({...message, records}, nowMs, nowWallMs);
+    return records.length === message.records.length
+      ? {kind: 'acknowledged'}
+      : {kind: 'notOwner'};
+  }
+
+  /**
+   * Stops acting for good and returns what the next owners need. Only shards
+   * that this member may act for are handed over; the rest is out of date.
+   */
+  leave(
+    membership: ownership.CellMembership,
+    nowMs: number,
+  ): readonly HandOver[] {
+    const {buckets, keys} = this.options;
+    const mayAct = (shard: string) =>
+      membership.permission(shard, nowMs).kind === 'granted';
+    const levels = buckets
+      .takeForHandOver(nowMs)
+      .filter(({organisation}) => mayAct(topology.bucketShard(organisation)));
+    const keyState = keys.takeForHandOver(nowMs);
+    const records = keyState.records.filter(record =>
+      mayAct(topology.keyShard(record.organisation, record.idempotencyKey)),
+    );
+    membership.leave(nowMs);
+    const {cell} = membership;
+    const handOvers: HandOver[] = [];
+    for (const [to, group] of groupByOwner(membership, levels, level =>
+      topology.bucketShard(level.organisation),
+    )) {
+      handOvers.push({
+        to,
+        message: {kind: 'bucketHandOver', cell, buckets: group},
+      });
+    }
+    for (const [to, group] of groupByOwner(membership, records, record =>
+      topology.keyShard(record.organisation, record.idempotencyKey),
+    )) {
+      for (const part of inParts(group)) {
+        handOvers.push({
+          to,
+          message: {
+            kind: 'keyHandOver',
+            cell,
+            coveredSinceMs: keyState.coveredSinceMs,
+            records: part,
+          },
+        });
+      }
+    }
+    return handOvers;
+  }
+
+  private limitsOf(organisationName: string): ownership.BucketLimits | null {
+    const document = this.options.document();
+    const region = document?.regions.find(
+      ({name}) => name === this.options.region,
+    );
+    const organisation = this.options.organisation(organisationName);
+    if (!region || !organisation) return null;
+    return {
+      ratePerSecond: organisation.ratePerSecond * region.weight,
+      burst: organisation.burst * region.weight,
+    };
+  }
+
+  private ownsBucket(
+    organisation: string,
+    membership: ownership.CellMembership,
+  ): boolean {
+    const document = this.options.document();
+    const place =
+      document &&
+      topology.cellOfOrganisation(document, this.options.region, organisation);
+    return !!place && topology.cellName(place) === membership.cell;
+  }
+
+  private ownsKey(
+    request: {
+      readonly organisation: string;
+      readonly idempotencyKey: string;
+    },
+    membership: ownership.CellMembership,
+  ): boolean {
+    const document = this.options.document();
+    const place =
+      document &&
+      topology.cellOfKey(
+        document,
+        request.organisation,
+        request.idempotencyKey,
+      );
+    return !!place && topology.cellName(place) === membership.cell;
+  }
+}
+
+/** Records per message, below the frame limit of 2 MB at 500 bytes each. */
+const RECORDS_PER_MESSAGE = 2_000;
+
+function inParts<T>(items: readonly T[]): T[][] {
+  const parts: T[][] = [];
+  for (let start = 0; start < items.length; start += RECORDS_PER_MESSAGE) {
+    parts.push(items.slice(start, start + RECORDS_PER_MESSAGE));
+  }
+  return parts;
+}
+
+function groupByOwner<T>(
+  membership: ownership.CellMembership,
+  items: readonly T[],
+  shardOf: (item: T) => string,
+): Map<protocol.MemberIdentity, T[]> {
+  const groups = new Map<protocol.MemberIdentity, T[]>();
+  for (const item of items) {
+    const owner = membership.ownerOf(shardOf(item));
+    if (!owner || owner.hostId === membership.identity.hostId) continue;
+    const group = groups.get(owner);
+    if (group) group.push(item);
+    else groups.set(owner, [item]);
+  }
+  return groups;
+}
+
+function isOwnerInView(
+  membership: ownership.CellMembership,
+  shard: string,
+): boolean {
+  const owner = membership.ownerOf(shard);
+  return (
+    owner?.hostId === membership.identity.hostId &&
+    owner.incarnation === membership.identity.incarnation
+  );
+}
+
+function notOwner(
+  membership: ownership.CellMembership,
+  shard: string,
+): extensions.NotOwnerWithHint {
+  const owner = membership.ownerOf(shard);
+  return owner
+    ? {kind: 'notOwner', ownerHostId: owner.hostId}
+    : {kind: 'notOwner'};
+}
--- /dev/null
+++ b/packages/coordination/src/platform-watch.ts
@@ -0,0 +1,134 @@
+import * as runtime from '@camphorwharf/runtime';
+import type * as configurationStore from './configuration-store.js';
+import type * as hostDirectory from './host-directory.js';
+import type * as platformReader from './platform-reader.js';
+
+/** How long one read waits at the platform for something newer. */
+export const READ_WAIT_MS = 20_000;
+
+/** Pause between two checks of whether this daemon is to read. */
+const ROLE_CHECK_MS = 500;
+
+/** Keeps a platform that answers waiting reads at once from causing a loop. */
+const MINIMUM_READ_INTERVAL_MS = 10;
+
+const BACK_OFF_BASE_MS = 200;
+const BACK_OFF_MAXIMUM_MS = 10_000;
+
+/**
+ * Spread of the reads of daemons that are not readers. At 11,000 daemons and
+ * two reads each it keeps the fleet at 1,830 reads/s, below 2,000.
+ */
+export const FALLBACK_SPREAD_MS = 12_000;
+
+/** Why this daemon reads the platform now. */
+export type ReadRole = 'reader' | 'fallback' | 'none';
+
+export interface PlatformWatchOptions {
+  readonly platform: platformReader.PlatformReader;
+  readonly store: configurationStore.ConfigurationStore;
+  readonly directory: hostDirectory.HostDirectory;
+  readonly role: (nowMs: number) => ReadRole;
+  readonly fallbackSpreadMs: number;
+  readonly clock: runtime.Clock;
+  readonly random: runtime.RandomSource;
+  readonly logger: runtime.Logger;
+  readonly metrics: runtime.Metrics;
+}
+
+/** Watches the document and the host list while this daemon is to read. */
+export class PlatformWatch {
+  constructor(private readonly options: PlatformWatchOptions) {}
+
+  async run(signal: AbortSignal): Promise<void> {
+    const {store, directory, platform, clock} = this.options;
+    await Promise.all([
+      this.watch('document', signal, async waitMs => {
+        const read = await platform.readDocument(
+          store.revision,
+          waitMs,
+          signal,
+        );
+        if (!read) return true;
+        const nowMs = clock.monotonicMs();
+        const result = store.offer(read.revision, read.document, nowMs);
+        return result !== 'invalid' && result !== 'conflict';
+      }),
+      this.watch('hosts', signal, async waitMs => {
+        const list = await platform.readHosts(
+          directory.hostList.revision,
+          waitMs,
+          signal,
+        );
+        if (list) directory.offerList(list, clock.monotonicMs());
+        return true;
+      }),
+    ]);
+  }
+
+  /** @param read resolves to false when the answer was of no use. */
+  private async watch(
+    subject: string,
+    signal: AbortSignal,
+    read: (waitMs: number) => Promise<boolean>,
+  ): Promise<void> {
+    const {clock, random, fallbackSpreadMs} = this.options;
+    let failures = 0;
+    while (!signal.aborted) {
+      const role = this.options.role(clock.monotonicMs());
+      if (role === 'none') {
+        await clock.delay(ROLE_CHECK_MS, signal);
+        continue;
+      }
+      if (role === 'fallback') {
+        await clock.delay(random.next() * fallbackSpreadMs, signal);
+        if (signal.aborted) return;
+        // A peer may have helped in the meantime.
+        if (this.options.role(clock.monotonicMs()) === 'none') continue;
+      }
+      const startMs = clock.monotonicMs();
+      const useful = await this.tryRead(subject, role, read);
+      if (signal.aborted) return;
+      failures = useful ? 0 : failures + 1;
+      if (failures > 0) {
+        await this.backOff(failures, signal);
+      } else if (clock.monotonicMs() - startMs < MINIMUM_READ_INTERVAL_MS) {
+        await clock.delay(MINIMUM_READ_INTERVAL_MS, signal);
+      }
+    }
+  }
+
+  /** @return false when the read failed or its answer was of no use. */
+  private async tryRead(
+    subject: string,
+    role: ReadRole,
+    read: (waitMs: number) => Promise<boolean>,
+  ): Promise<boolean> {
+    const {logger, metrics} = this.options;
+    metrics.count('platform_reads_total', 'Reads of the platform', {
+      subject,
+      role,
+    });
+    try {
+      return await read(role === 'reader' ? READ_WAIT_MS : 0);
+    } catch (error) {
+      metrics.count(
+        'platform_read_failures_total',
+        'Reads of the platform that failed',
+        {subject},
+      );
+      logger.warn('platform-read-failed', {subject, error: String(error)});
+      return false;
+    }
+  }
+
+  /** Full jitter: all daemons that saw one failure return spread out. */
+  private backOff(failures: number, signal: AbortSignal): Promise<void> {
+    const {clock, random} = this.options;
+    const limitMs = Math.min(
+      BACK_OFF_MAXIMUM_MS,
+      BACK_OFF_BASE_MS * 2 ** Math.min(failures, 10),
+    );
+    return clock.delay(random.next() * limitMs, signal);
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/relay-peers.ts
@@ -0,0 +1,53 @@
+import type * as declaration from '@camphorwharf/declaration';
+import * as runtime from '@camphorwharf/runtime';
+
+/** Readers of the platform in each availability zone. */
+export const READERS_PER_ZONE = 3;
+
+/** Relay peers chosen by rendezvous; one random peer is added. */
+export const RELAY_FANOUT = 4;
+
+/** Whether `hostId` is a reader of its availability zone. */
+export function isReader(
+  hostId: string,
+  availabilityZone: string,
+  stayingHosts: readonly declaration.HostEntry[],
+): boolean {
+  const zone = stayingHosts.filter(
+    host => host.availabilityZone === availabilityZone,
+  );
+  return runtime
+    .rendezvousOrder(`reader|${availabilityZone}`, zone, host => host.hostId)
+    .slice(0, READERS_PER_ZONE)
+    .some(host => host.hostId === hostId);
+}
+
+/**
+ * The relay peers of a host: two of its own availability zone and the rest of
+ * distinct other ones, so that the zones stay connected.
+ */
+export function chooseRelays(
+  self: declaration.HostEntry,
+  stayingHosts: readonly declaration.HostEntry[],
+): declaration.HostEntry[] {
+  const order = runtime.rendezvousOrder(
+    `relay|${self.hostId}`,
+    stayingHosts.filter(host => host.hostId !== self.hostId),
+    host => host.hostId,
+  );
+  const chosen: declaration.HostEntry[] = order
+    .filter(host => host.availabilityZone === self.availabilityZone)
+    .slice(0, RELAY_FANOUT / 2);
+  const zones = new Set([self.availabilityZone]);
+  for (const host of order) {
+    if (chosen.length >= RELAY_FANOUT) break;
+    if (zones.has(host.availabilityZone)) continue;
+    zones.add(host.availabilityZone);
+    chosen.push(host);
+  }
+  for (const host of order) {
+    if (chosen.length >= RELAY_FANOUT) break;
+    if (!chosen.includes(host)) chosen.push(host);
+  }
+  return chosen;
+}
--- /dev/null
+++ b/packages/coordination/src/target-selector.ts
@@ -0,0 +1,140 @@
+import type * as admission from '@camphorwharf/admission';
+import type * as declaration from '@camphorwharf/declaration';
+import type * as protocol from '@camphorwharf/protocol';
+import * as runtime from '@camphorwharf/runtime';
+import type * as hostDirectory from './host-directory.js';
+import * as targetHealth from './target-health.js';
+
+/** Costs within this factor of each other count as equal. */
+const EQUAL_COST_FACTOR = 1.25;
+
+/** Observations of targets that were not used for this time are dropped. */
+const IDLE_TARGET_MS = 60_000;
+
+export type TargetChoice =
+  | {readonly kind: 'target'; readonly host: declaration.HostEntry}
+  | {
+      readonly kind: 'none';
+      readonly reason: Extract<
+        protocol.RefusalReasonName,
+        'noTarget' | 'overloaded' | 'targetUnavailable'
+      >;
+    };
+
+export interface TargetSelectorOptions {
+  readonly availabilityZone: string;
+  readonly directory: Pick<hostDirectory.HostDirectory, 'liveHosts'>;
+  readonly thresholds: Pick<admission.ThresholdTable, 'passes'>;
+  readonly random: runtime.RandomSource;
+}
+
+/** Chooses the target of a call: the less loaded of two random candidates. */
+export class TargetSelector {
+  private readonly health = new Map<string, targetHealth.TargetHealth>();
+  private sweptMs = -Infinity;
+
+  constructor(private readonly options: TargetSelectorOptions) {}
+
+  /** @param excluded host ids that this call must not go to again. */
+  choose(
+    service: string,
+    call: Pick<protocol.CallContext, 'importance' | 'rank'>,
+    nowMs: number,
+    excluded: ReadonlySet<string>,
+  ): TargetChoice {
+    const hosts = this.options.directory
+      .liveHosts(service, nowMs)
+      .filter(host => !excluded.has(host.hostId));
+    if (hosts.length === 0) {
+      return {
+        kind: 'none',
+        reason: excluded.size > 0 ? 'targetUnavailable' : 'noTarget',
+      };
+    }
+    const usable = hosts.filter(
+      host => !this.health.get(host.hostId)?.isEjected(nowMs),
+    );
+    // With every target ejected, a wrong ejection must not stop the service.
+    const candidates = usable.length > 0 ? usable : hosts;
+    const pair = this.draw(candidates, call, nowMs);
+    // A target that refuses a class now may be ejected by mistake; ejected
+    // targets are no substitute for targets that shed.
+    if (pair.length === 0) return {kind: 'none', reason: 'overloaded'};
+    return {kind: 'target', host: this.better(pair, nowMs)};
+  }
+
+  /** A call to the host was sent. */
+  noteStart(hostId: string, nowMs: number): void {
+    let health = this.health.get(hostId);
+    if (!health) {
+      this.sweep(nowMs);
+      health = new targetHealth.TargetHealth();
+      this.health.set(hostId, health);
+    }
+    health.start(nowMs);
+  }
+
+  /** A call to the host ended; each `noteStart` needs one. */
+  noteEnd(
+    hostId: string,
+    result: targetHealth.TargetResult,
+    latencyMs: number,
+    nowMs: number,
+  ): void {
+    this.health.get(hostId)?.end(result, latencyMs, nowMs, this.options.random);
+  }
+
+  /** Up to two random candidates whose thresholds pass the call. */
+  private draw(
+    candidates: readonly declaration.HostEntry[],
+    call: Pick<protocol.CallContext, 'importance' | 'rank'>,
+    nowMs: number,
+  ): declaration.HostEntry[] {
+    const left = [...candidates];
+    const pair: declaration.HostEntry[] = [];
+    while (left.length > 0 && pair.length < 2) {
+      const index = runtime.randomInteger(this.options.random, left.length);
+      const host = left[index];
+      left[index] = left[left.length - 1];
+      left.pop();
+      if (this.options.thresholds.passes(host.hostId, call, nowMs)) {
+        pair.push(host);
+      }
+    }
+    return pair;
+  }
+
+  private better(
+    pair: readonly declaration.HostEntry[],
+    nowMs: number,
+  ): declaration.HostEntry {
+    const [first, second] = pair;
+    if (!second) return first;
+    const firstCost = this.cost(first, nowMs);
+    const secondCost = this.cost(second, nowMs);
+    const ratio = firstCost / secondCost;
+    if (ratio > EQUAL_COST_FACTOR) return second;
+    if (ratio < 1 / EQUAL_COST_FACTOR) return first;
+    const {availabilityZone} = this.options;
+    const firstIsNear = first.availabilityZone === availabilityZone;
+    const secondIsNear = second.availabilityZone === availabilityZone;
+    if (firstIsNear !== secondIsNear) return firstIsNear ? first : second;
+    return firstCost <= secondCost ? first : second;
+  }
+
+  private cost(host: declaration.HostEntry, nowMs: number): number {
+    return (
+      this.health.get(host.hostId) ?? new targetHealth.TargetHealth()
+    ).cost(nowMs);
+  }
+
+  private sweep(nowMs: number): void {
+    if (nowMs - this.sweptMs < IDLE_TARGET_MS) return;
+    this.sweptMs = nowMs;
+    for (const [hostId, health] of this.health) {
+      if (health.inFlight === 0 && nowMs - health.lastUsedMs > IDLE_TARGET_MS) {
+        this.health.delete(hostId);
+      }
+    }
+  }
+}
