Add explanations, differences and tests of the declaration

Operators need to see which policy decides a setting and what a new document changes; the document is read from the platform, so hostile input must neither throw nor cost much.

Adds explainCall, resolvePolicy, diffDocuments and diffDeclarations, bounds the values of an item and the findings of a document, and lets open routes carry no organisation.

--- a/packages/declaration/src/cross-checks.ts
+++ b/packages/declaration/src/cross-checks.ts
@@ -89,7 +89,9 @@
   // exactly one route matches a call.
   const routeOfMethod = new Map<string, string>();
   for (const {index, item} of routes.entries) {
-    if (!services.names.has(item.service)) {
+    // When the section is unreadable, its own finding says enough.
+    const isReadable = services.complete || services.names.size > 0;
+    if (isReadable && !services.names.has(item.service)) {
       findings.push({
         path: ['routes', index, 'service'],
         value: item.service,
@@ -127,9 +129,9 @@
 }: sectionTypes.Sections): problems.Finding[] {
   const findings: problems.Finding[] = [];
   const organisationOfHash = new Map<string, string>();
-  const smallestWeight = Math.min(
+  const smallestWeight = regions.entries.reduce(
+    (smallest, {item}) => Math.min(smallest, item.weight),
     1,
-    ...regions.entries.map(({item}) => item.weight),
   );
   for (const {index, item} of organisations.entries) {
     item.keyHashes.forEach((hash, position) => {
--- a/packages/declaration/src/document-index.ts
+++ b/packages/declaration/src/document-index.ts
@@ -64,12 +64,15 @@
     return this.#services.get(name) ?? null;
   }
 
-  /** The settings of calls of the organisation, or of callers without key. */
+  /**
+   * The settings of calls of the organisation, or of callers without a key. On
+   * an open route they are the same for all callers.
+   */
   effectivePolicy(
     route: documents.Route,
     organisation: documents.Organisation | null,
   ): documents.EffectivePolicy {
-    const organisationName = organisation?.name ?? '';
+    const organisationName = route.open ? '' : (organisation?.name ?? '');
     const cached = this.#cache.get(route.name)?.get(organisationName);
     if (cached !== undefined) return cached;
     const labels = selectors.labelsOfCall(
--- a/packages/declaration/src/index.ts
+++ b/packages/declaration/src/index.ts
@@ -1,3 +1,5 @@
+export {diffDeclarations, diffDocuments} from './diff.js';
+export type {Change, DocumentDifference, ForbiddenChange} from './diff.js';
 export {DEFAULT_POLICY} from './document.js';
 export type {
   EffectivePolicy,
@@ -12,6 +14,12 @@
   Service,
 } from './document.js';
 export {DocumentIndex} from './document-index.js';
+export {explainCall, resolvePolicy} from './explain.js';
+export type {
+  CallDescription,
+  CallExplanation,
+  PolicyExplanation,
+} from './explain.js';
 export {HostState} from './host-list.js';
 export type {HostEntry, HostList, HostStateName} from './host-list.js';
 export {parseDeclaration} from './parse-declaration.js';
--- a/packages/declaration/src/parse-declaration.ts
+++ b/packages/declaration/src/parse-declaration.ts
@@ -78,7 +78,9 @@
   }
   const root = {routes: [], organisations: [], policies: [], ...raw};
   const read = sections.readSections(root, prepareItem, findings);
-  findings.push(...checks.crossCheck(read));
+  if (findings.length < sections.MAXIMUM_FINDINGS) {
+    for (const finding of checks.crossCheck(read)) findings.push(finding);
+  }
   if (findings.length === 0) {
     return {ok: true, declaration: sections.toDeclaration(read)};
   }
--- a/packages/declaration/src/problem.ts
+++ b/packages/declaration/src/problem.ts
@@ -22,7 +22,7 @@
   readonly remedy: string;
 }
 
-/** Longest part of a value that a problem quotes. */
+/** Longest part of a value, and of a key in a path, that a problem quotes. */
 const MAXIMUM_VALUE_LENGTH = 80;
 
 /** Writes a path as `routes[2].labels.tier`. */
@@ -30,7 +30,10 @@
   let text = '';
   for (const segment of path) {
     if (typeof segment === 'number') text += `[${segment}]`;
-    else text += text === '' ? segment : `.${segment}`;
+    else {
+      const key = segment.slice(0, MAXIMUM_VALUE_LENGTH);
+      text += text === '' ? key : `.${key}`;
+    }
   }
   return text;
 }
--- a/packages/declaration/src/published-document.ts
+++ b/packages/declaration/src/published-document.ts
@@ -1,5 +1,6 @@
 import * as runtime from '@camphorwharf/runtime';
 
+import * as json from './canonical-json.js';
 import * as checks from './cross-checks.js';
 import type * as documents from './document.js';
 import * as problems from './problem.js';
@@ -75,15 +76,7 @@
 export function serializeDocument(
   document: documents.PublishedDocument,
 ): string {
-  return JSON.stringify(document, (_key, value: unknown) =>
-    typeof value === 'object' && value !== null && !Array.isArray(value)
-      ? Object.fromEntries(
-          Object.entries(value).sort(([left], [right]) =>
-            left < right ? -1 : 1,
-          ),
-        )
-      : value,
-  );
+  return json.canonicalJson(document);
 }
 
 /** SHA-256 digest of the canonical JSON, lower-case hexadecimal. */
@@ -172,14 +165,16 @@
   for (const key of Object.keys(root)) {
     if (DOCUMENT_FIELDS.includes(key)) continue;
     findings.push({
-      path: [key.slice(0, 100)],
+      path: [key],
       value: root[key],
       message: 'is not a known field',
       remedy: `Remove it; the fields are ${DOCUMENT_FIELDS.join(', ')}`,
     });
   }
   const read = sections.readSections(root, (_section, item) => item, findings);
-  findings.push(...checks.crossCheck(read));
+  if (findings.length < sections.MAXIMUM_FINDINGS) {
+    for (const finding of checks.crossCheck(read)) findings.push(finding);
+  }
   if (findings.length > 0) return reject(findings);
   return {
     ok: true,
--- a/packages/declaration/src/sections.ts
+++ b/packages/declaration/src/sections.ts
@@ -38,6 +38,15 @@
   readonly [Name in SectionName]: Section<Declaration[Name][number]>;
 };
 
+/**
+ * Most values of one item, nested ones included. It bounds the problems that
+ * one item can cause; the largest valid items hold some thousands.
+ */
+const MAXIMUM_ITEM_VALUES = 10_000;
+
+/** Reading stops after so many findings, so that hostile input costs little. */
+export const MAXIMUM_FINDINGS = 10_000;
+
 /** Prepares a raw item before its schema is applied; null rejects it. */
 export type PrepareItem = (
   section: SectionName,
@@ -104,7 +113,17 @@
   }
   const entries: Entry<Declaration[Name][number]>[] = [];
   rawItems.forEach((rawItem: unknown, index) => {
+    if (findings.length >= MAXIMUM_FINDINGS) return;
     const path = [section, index];
+    if (hasTooManyValues(rawItem)) {
+      findings.push({
+        path,
+        value: rawItem,
+        message: `has more than ${MAXIMUM_ITEM_VALUES} values`,
+        remedy: 'Split the item or shorten its lists',
+      });
+      return;
+    }
     const itemName = schema.valueAt(rawItem, ['name']);
     if (typeof itemName === 'string') names.add(itemName);
     const before = findings.length;
@@ -121,6 +140,21 @@
   return {entries, names, complete: entries.length === rawItems.length};
 }
 
+/** Counts nested values without recursion. */
+function hasTooManyValues(item: unknown): boolean {
+  const pending: unknown[] = [item];
+  let count = 0;
+  while (pending.length > 0) {
+    const value = pending.pop();
+    if (typeof value !== 'object' || value === null) continue;
+    const children: unknown[] = Object.values(value);
+    count += children.length;
+    if (count > MAXIMUM_ITEM_VALUES) return true;
+    for (const child of children) pending.push(child);
+  }
+  return false;
+}
+
 function findingsOfIssue(
   section: SectionName,
   issue: z.core.$ZodIssue,
--- a/packages/declaration/src/selector.ts
+++ b/packages/declaration/src/selector.ts
@@ -22,14 +22,17 @@
  * Collects the labels that policies see for a call: the labels of its service,
  * route and organisation, and the reserved names. Validation gives each label
  * name to only one kind of item, so that the order of the union has no effect.
- * `route` is null for the settings of a service as a whole.
+ * Calls on open routes carry no organisation, whoever sends them.
+ *
+ * @param route Null for the settings of a service as a whole.
  */
 export function labelsOfCall(
   serviceName: string,
   service: documents.Service | null,
   route: documents.Route | null,
-  organisation: documents.Organisation | null,
+  caller: documents.Organisation | null,
 ): CallLabels {
+  const organisation = route?.open === true ? null : caller;
   const labels = new Map<string, string>();
   for (const item of [service, route, organisation]) {
     if (item === null) continue;
--- /dev/null
+++ b/packages/declaration/src/test/document-index_test.ts
@@ -0,0 +1,206 @@
+import test from 'ava';
+import * as fc from 'fast-check';
+
+import * as declaration from '../index.js';
+import * as selectors from '../selector.js';
+import * as arbitraries from './arbitraries.js';
+
+const SEED = 20_252;
+
+const route = (
+  name: string,
+  pathPrefix: string,
+  methods: readonly string[] = [],
+): declaration.Route => ({
+  name,
+  service: 'catalogue',
+  methods,
+  pathPrefix,
+  open: false,
+  idempotent: true,
+  importance: 1,
+  labels: {},
+});
+const document: declaration.PublishedDocument = {
+  formatVersion: 1,
+  revision: 1,
+  regions: [{name: 'west', weight: 1, cells: 1, availabilityZones: ['w1']}],
+  services: [
+    {name: 'catalogue', labels: {}},
+    {name: 'rootless', labels: {}},
+  ],
+  routes: [
+    route('root', '/'),
+    route('parts', '/parts'),
+    route('parts-read', '/parts', ['GET', 'HEAD']),
+    route('wheels', '/parts/wheels', ['POST']),
+    route('deep', '/a/b/c/d'),
+    {...route('orders', '/orders'), service: 'rootless'},
+  ],
+  organisations: [
+    {
+      name: 'alpha',
+      labels: {},
+      ratePerSecond: 1,
+      burst: 1,
+      keyHashes: ['aa'.repeat(32), 'bb'.repeat(32)],
+    },
+  ],
+  policies: [],
+};
+const index = new declaration.DocumentIndex(document);
+
+const matches: ReadonlyArray<[string, string, string, string | null]> = [
+  ['catalogue', 'GET', '/parts', 'parts-read'],
+  ['catalogue', 'GET', '/parts/', 'parts-read'],
+  ['catalogue', 'GET', '/parts?sort=/wheels', 'parts-read'],
+  ['catalogue', 'PUT', '/parts', 'parts'],
+  ['catalogue', 'get', '/parts', 'parts'],
+  ['catalogue', 'POST', '/parts/wheels/7', 'wheels'],
+  // The longest prefix has no route for the method; a shorter one does.
+  ['catalogue', 'GET', '/parts/wheels/7', 'parts-read'],
+  ['catalogue', 'GET', '/parts-admin', 'root'],
+  ['catalogue', 'GET', '/PARTS', 'root'],
+  ['catalogue', 'GET', '/parts/wheels-of/7', 'parts-read'],
+  ['catalogue', 'GET', '/a/b/c', 'root'],
+  ['catalogue', 'GET', '/a/b/c/d', 'deep'],
+  ['catalogue', 'GET', '/a/b/c/d/e/f/g', 'deep'],
+  ['catalogue', 'GET', '', 'root'],
+  ['catalogue', 'GET', '?x=/../y', 'root'],
+  ['catalogue', 'GET', '/', 'root'],
+  ['catalogue', 'GET', '/...', 'root'],
+  // Without decoding, these would reach the guarded prefix through the root.
+  ['catalogue', 'GET', '/%70arts/7', 'parts-read'],
+  ['catalogue', 'GET', '/x%20y', 'root'],
+  ['catalogue', 'GET', '/x/../parts', null],
+  ['catalogue', 'GET', '/x/%2e%2E/parts', null],
+  ['catalogue', 'GET', '/x/..%2fparts', null],
+  ['catalogue', 'GET', '/./parts', null],
+  ['catalogue', 'GET', '/parts/..', null],
+  ['catalogue', 'GET', '//parts', null],
+  ['catalogue', 'GET', '/x\\..\\parts', null],
+  ['catalogue', 'GET', '/x%5cparts', null],
+  ['catalogue', 'GET', '/parts%00', null],
+  ['catalogue', 'GET', '/parts%', null],
+  ['catalogue', 'GET', '/%ff', null],
+  ['catalogue', 'GET', 'parts', null],
+  ['rootless', 'GET', '/', null],
+  ['rootless', 'GET', '/parts', null],
+  ['rootless', 'GET', '/orders/1', 'orders'],
+  ['unknown', 'GET', '/parts', null],
+  ['constructor', 'GET', '/parts', null],
+];
+for (const [service, method, path, expected] of matches) {
+  test(`${service} ${method} ${JSON.stringify(path)} has the route ${expected}`, t => {
+    t.is(index.matchRoute(service, method, path)?.name ?? null, expected);
+  });
+}
+
+test('names and keys resolve to their items and unknown ones to null', t => {
+  t.is(index.organisationOfKey('bb'.repeat(32))?.name, 'alpha');
+  t.is(index.organisationOfKey('cc'.repeat(32)), null);
+  t.is(index.organisation('alpha')?.burst, 1);
+  t.is(index.organisation('beta'), null);
+  t.is(index.region('west')?.cells, 1);
+  t.is(index.region('east'), null);
+});
+
+const labels = new Map([
+  ['tier', 'x'],
+  ['service', 'catalogue'],
+]);
+const inX: declaration.Selector = {kind: 'in', label: 'tier', values: ['x']};
+const inY: declaration.Selector = {kind: 'in', label: 'tier', values: ['y']};
+const absent = {label: 'size', values: ['x']};
+const selections: ReadonlyArray<[declaration.Selector, boolean]> = [
+  [inX, true],
+  [inY, false],
+  [{kind: 'in', ...absent}, false],
+  [{kind: 'notIn', label: 'tier', values: ['x']}, false],
+  [{kind: 'notIn', label: 'tier', values: ['y']}, true],
+  [{kind: 'notIn', ...absent}, true],
+  [{kind: 'exists', label: 'tier'}, true],
+  [{kind: 'exists', label: 'size'}, false],
+  [{kind: 'not', operand: inX}, false],
+  [{kind: 'and', operands: [inX, inY]}, false],
+  [{kind: 'and', operands: [inX, inX]}, true],
+  [{kind: 'or', operands: [inY, inX]}, true],
+  [{kind: 'or', operands: [inY, inY]}, false],
+];
+for (const [selector, expected] of selections) {
+  test(`${selectors.formatSelector(selector)} is ${expected}`, t => {
+    t.is(selectors.selectorMatches(selector, labels), expected);
+    t.is(selectors.evaluateSelector(selector, labels).matches, expected);
+  });
+}
+
+test('each call has exactly one answer, that of the first policy in order', t => {
+  fc.assert(
+    fc.property(arbitraries.declarations, fc.nat(), (item, rotation) => {
+      const compiled = declaration.compile(item, 1);
+      const {policies} = compiled;
+      const cut = rotation % (policies.length + 1);
+      const rotated = new declaration.DocumentIndex({
+        ...compiled,
+        policies: [...policies.slice(cut), ...policies.slice(0, cut)],
+      });
+      const straight = new declaration.DocumentIndex(compiled);
+      for (const called of compiled.routes) {
+        for (const caller of [null, ...compiled.organisations]) {
+          const policy = straight.effectivePolicy(called, caller);
+          t.deepEqual(rotated.effectivePolicy(called, caller), policy);
+          t.is(straight.effectivePolicy(called, caller), policy);
+          t.deepEqual(policy, expectedPolicy(compiled, called, caller));
+          if (called.open) t.is(straight.effectivePolicy(called, null), policy);
+          const {retryRatio, maximumConcurrency, maximumQueue} = policy;
+          t.deepEqual(straight.servicePolicy(called.service), {
+            retryRatio,
+            maximumConcurrency,
+            maximumQueue,
+          });
+        }
+      }
+    }),
+    {seed: SEED, numRuns: 150},
+  );
+});
+
+/** Resolves by the rule of the design: per setting, the best policy wins. */
+function expectedPolicy(
+  {policies, services}: declaration.PublishedDocument,
+  called: declaration.Route,
+  caller: declaration.Organisation | null,
+): Record<string, number> {
+  const seen = new Map<string, string>([
+    ...Object.entries(services.find(s => s.name === called.service)!.labels),
+    ...Object.entries(called.labels),
+    ['service', called.service],
+    ['route', called.name],
+  ]);
+  if (caller !== null && !called.open) {
+    seen.set('organisation', caller.name);
+    for (const [name, value] of Object.entries(caller.labels)) {
+      seen.set(name, value);
+    }
+  }
+  const result: Record<string, number> = {
+    ...declaration.DEFAULT_POLICY,
+    importance: called.importance,
+  };
+  const decidedBy = new Map<string, declaration.Policy>();
+  for (const policy of policies) {
+    if (!selectors.selectorMatches(policy.selector, seen)) continue;
+    for (const [setting, value] of Object.entries(policy.settings)) {
+      const best = decidedBy.get(setting);
+      if (
+        best === undefined ||
+        policy.precedence > best.precedence ||
+        (policy.precedence === best.precedence && policy.name < best.name)
+      ) {
+        decidedBy.set(setting, policy);
+        result[setting] = value as number;
+      }
+    }
+  }
+  return result;
+}
--- /dev/null
+++ b/packages/declaration/src/test/published-document_test.ts
@@ -0,0 +1,213 @@
+import test from 'ava';
+import * as fc from 'fast-check';
+import * as toml from 'smol-toml';
+
+import * as declaration from '../index.js';
+import * as arbitraries from './arbitraries.js';
+
+const SEED = 20_251;
+
+test('serializing and parsing a document loses nothing', t => {
+  fc.assert(
+    fc.property(
+      arbitraries.declarations,
+      fc.integer({min: 1, max: 2 ** 40}),
+      (item, revision) => {
+        const document = declaration.compile(item, revision);
+        const text = declaration.serializeDocument(document);
+        const parsed = declaration.parsePublishedDocument(text);
+        t.deepEqual(parsed, {ok: true, document});
+      },
+    ),
+    {seed: SEED, numRuns: 200},
+  );
+});
+
+test('writing a declaration as TOML and parsing it loses nothing', t => {
+  fc.assert(
+    fc.property(arbitraries.declarations, item => {
+      const policies = item.policies.map(policy => ({
+        ...policy,
+        selector: arbitraries.toTomlSelector(policy.selector),
+      }));
+      const text = toml.stringify({...item, policies});
+      const parsed = declaration.parseDeclaration(text, 'file.toml');
+      t.deepEqual(parsed, {ok: true, declaration: item});
+    }),
+    {seed: SEED, numRuns: 200},
+  );
+});
+
+test('reordered items keep the digest and a new revision changes it', t => {
+  fc.assert(
+    fc.property(arbitraries.declarations, item => {
+      const reversed = Object.fromEntries(
+        Object.entries(item).map(([name, items]) => [
+          name,
+          [...items].reverse(),
+        ]),
+      ) as unknown as declaration.Declaration;
+      const digest = declaration.documentDigest(declaration.compile(item, 7));
+      t.is(
+        declaration.documentDigest(declaration.compile(reversed, 7)),
+        digest,
+      );
+      t.not(declaration.documentDigest(declaration.compile(item, 8)), digest);
+    }),
+    {seed: SEED, numRuns: 100},
+  );
+});
+
+const valid = declaration.compile(
+  fc.sample(arbitraries.declarations, {seed: SEED, numRuns: 1})[0]!,
+  3,
+);
+const withField = (fields: object) => JSON.stringify({...valid, ...fields});
+const item = (count: number, value: string) =>
+  `[${Array<string>(count).fill(value).join(',')}]`;
+const uniqueKeys = Array.from({length: 90_000}, (_, index) => [`k${index}`, 1]);
+let deepSelector: declaration.Selector = {kind: 'exists', label: 'service'};
+for (let depth = 1; depth <= 16; depth++) {
+  deepSelector = {kind: 'not', operand: deepSelector};
+}
+const policyWith = (selector: unknown) =>
+  withField({
+    policies: [
+      {name: 'policy', precedence: 0, selector, settings: {retries: 1}},
+    ],
+  });
+
+const hostileDocuments: ReadonlyArray<[string, string, RegExp]> = [
+  ['an empty text', '', /not valid JSON/],
+  ['a truncated text', JSON.stringify(valid).slice(0, -9), /not valid JSON/],
+  ['null', 'null', /not a JSON object/],
+  ['a list', '[]', /not a JSON object/],
+  ['deep nesting', '['.repeat(400_000), /nested deeper than 40/],
+  ['deep tables', '{"a":'.repeat(100_000), /nested deeper than 40/],
+  ['a text above the limit', ' '.repeat(1_000_001), /larger than 1000000/],
+  ['a text above the limit in bytes', 'é'.repeat(600_000), /larger than/],
+  ['an unknown version', withField({formatVersion: 2}), /format version/],
+  ['revision 0', withField({revision: 0}), /revision: must be/],
+  ['a fractional revision', withField({revision: 1.5}), /revision: must be/],
+  ['a text revision', withField({revision: '4'}), /revision: must be/],
+  ['a missing section', withField({routes: undefined}), /routes: is missing/],
+  ['a null section', withField({policies: null}), /policies: is not a list/],
+  ['no service', withField({services: []}), /service: is not a declared/],
+  ['a null item', withField({services: [null]}), /services\[0\]: must be/],
+  ['an unknown field', withField({colour: 1}), /colour: is not a known field/],
+  [
+    '__proto__',
+    `{"__proto__":{"formatVersion":1},${JSON.stringify(valid).slice(1)}`,
+    /__proto__: is not a known field/,
+  ],
+  [
+    'a prototype as label',
+    policyWith({kind: 'exists', label: 'constructor'}),
+    /uses a label that no/,
+  ],
+  ['a selector that is too deep', policyWith(deepSelector), /deeper than 16/],
+  [
+    'an unknown selector',
+    policyWith({kind: 'xor'}),
+    /kind: must be a selector/,
+  ],
+  [
+    'an empty operand list',
+    policyWith({kind: 'and', operands: []}),
+    /1 to 100/,
+  ],
+  [
+    'many invalid items',
+    `{"services":${item(300_000, '{}')}}`,
+    /more problems are not listed/,
+  ],
+  [
+    'many invalid list entries',
+    `{"regions":[{"availabilityZones":${item(400_000, '1')}}]}`,
+    /more than 10000 values/,
+  ],
+  [
+    'many invalid labels',
+    withField({
+      services: [{name: 'a', labels: Object.fromEntries(uniqueKeys)}],
+    }),
+    /more than 10000 values/,
+  ],
+  [
+    'many unknown fields',
+    JSON.stringify(Object.fromEntries(uniqueKeys)),
+    /more problems are not listed/,
+  ],
+];
+for (const [name, text, expected] of hostileDocuments) {
+  test(`rejects ${name} without throwing`, t => {
+    const parsed = declaration.parsePublishedDocument(text);
+    if (parsed.ok) return t.fail('the document was accepted');
+    t.true(parsed.problems.length <= 101);
+    const lines = parsed.problems.map(declaration.formatProblem);
+    t.regex(lines.join('\n'), expected);
+    t.true(lines.every(line => line.length < 1_000));
+  });
+}
+
+test('a damaged document is rejected or gives a usable index', t => {
+  const paths: string[][] = [];
+  const collect = (value: unknown, path: string[]) => {
+    paths.push(path);
+    if (typeof value !== 'object' || value === null) return;
+    for (const [key, member] of Object.entries(value)) {
+      collect(member, [...path, key]);
+    }
+  };
+  collect(valid, []);
+  let accepted = 0;
+  fc.assert(
+    fc.property(
+      fc.constantFrom(...paths.slice(1)),
+      fc.jsonValue(),
+      (path, value) => {
+        const copy = structuredClone(valid) as unknown;
+        let parent = copy as Record<string, unknown>;
+        for (const key of path.slice(0, -1)) {
+          parent = parent[key] as Record<string, unknown>;
+        }
+        parent[path.at(-1)!] = value;
+        const text = JSON.stringify(copy);
+        const parsed = declaration.parsePublishedDocument(text);
+        if (!parsed.ok) {
+          t.true(parsed.problems.length > 0);
+          return;
+        }
+        accepted++;
+        const index = new declaration.DocumentIndex(parsed.document);
+        for (const route of parsed.document.routes) {
+          const policy = index.effectivePolicy(route, null);
+          t.true(Object.values(policy).every(Number.isFinite));
+        }
+      },
+    ),
+    {seed: SEED, numRuns: 3_000},
+  );
+  t.true(accepted > 0, 'no damage left a valid document');
+});
+
+const refusedRevisions = [0, -1, 1.5, Number.NaN, 2 ** 53];
+for (const revision of refusedRevisions) {
+  test(`compile refuses revision ${revision}`, t => {
+    t.throws(() => declaration.compile(valid, revision), {
+      name: 'ConfigurationError',
+      message: /pass the previous revision plus 1/,
+    });
+  });
+}
+
+test('compile refuses a document that the platform cannot hold', t => {
+  const services = Array.from({length: 30_000}, (_, index) => ({
+    name: `service-${index}`,
+    labels: {},
+  }));
+  t.throws(() => declaration.compile({...valid, services}, 1), {
+    name: 'ConfigurationError',
+    message: /more than 1000000/,
+  });
+});
--- a/packages/declaration/src/toml-lines.ts
+++ b/packages/declaration/src/toml-lines.ts
@@ -48,6 +48,7 @@
     const path: problems.PathSegment[] = [];
     names.forEach((name, index) => {
       path.push(name);
+      this.#note(path);
       const key = keyOf(path);
       const count = this.#tableCounts.get(key);
       if (isArray && index === names.length - 1) {
