Add the frame codec of the peer protocol

Daemons need to exchange frames that were checked before any code acts on them. encodeFrame and FrameDecoder carry them as length-prefixed CBOR; a structural check rejects tags, deep nesting and oversized frames first, because the CBOR library builds regular expressions, errors and cyclic values from tags.

--- /dev/null
+++ b/packages/protocol/src/frame-shapes.ts
@@ -0,0 +1,140 @@
+import * as outcomes from './outcomes.js';
+import * as shape from './shape.js';
+
+/** Headers are limited to 100 at the caller; daemons add a few. */
+const MAXIMUM_HEADERS = 128;
+
+const isHeaderList = shape.listOf(
+  value =>
+    Array.isArray(value) &&
+    value.length === 2 &&
+    typeof value[0] === 'string' &&
+    typeof value[1] === 'string',
+  MAXIMUM_HEADERS,
+);
+const isImportance = shape.oneOf(0, 1, 2, 3);
+const isRank: shape.Check = value => shape.isAmount(value) && Number(value) < 1;
+const isStatus: shape.Check = value =>
+  shape.isCount(value) && Number(value) >= 200 && Number(value) <= 599;
+const isThreshold = shape.nullable(
+  shape.fieldsOf([
+    ['importance', isImportance],
+    ['rank', shape.isAmount],
+  ]),
+);
+const isContext = shape.fieldsOf([
+  ['requestId', shape.isText],
+  ['organisation', shape.nullable(shape.isText)],
+  ['importance', isImportance],
+  ['rank', isRank],
+  ['remainingMs', shape.isFinite],
+  ['retries', shape.isCount],
+  ['depth', shape.isCount],
+  ['idempotent', shape.isBoolean],
+  ['idempotencyKey', shape.nullable(shape.isText)],
+]);
+const isPermission = shape.fieldsOf([
+  ['heartbeatNumber', shape.isCount],
+  ['elapsedMs', shape.isAmount],
+  ['remainingMs', shape.isFinite],
+]);
+
+const trailer: shape.Shape = [
+  ['unspentRetries', shape.isCount],
+  ['threshold', isThreshold],
+];
+
+/** Shapes of all frames but `request` and `reply`, by kind. */
+export const frameShapes: ReadonlyMap<string, shape.Shape> = new Map<
+  string,
+  shape.Shape
+>([
+  [
+    'hello',
+    [
+      ['versionMinimum', shape.isCount],
+      ['versionMaximum', shape.isCount],
+      ['hostId', shape.isText],
+      ['incarnation', shape.isText],
+      ['service', shape.isText],
+      ['availabilityZone', shape.isText],
+    ],
+  ],
+  [
+    'heartbeat',
+    [
+      ['number', shape.isCount],
+      ['acknowledged', shape.isCount],
+    ],
+  ],
+  [
+    'call',
+    [
+      ['call', shape.isCount],
+      ['attempt', shape.isCount],
+      ['service', shape.isText],
+      ['method', shape.isText],
+      ['path', shape.isText],
+      ['headers', isHeaderList],
+      ['contentLength', shape.nullable(shape.isCount)],
+      ['hasBody', shape.isBoolean],
+      ['context', isContext],
+      ['permission', isPermission],
+    ],
+  ],
+  [
+    'callBody',
+    [
+      ['call', shape.isCount],
+      ['chunk', shape.isBytes],
+      ['last', shape.isBoolean],
+      ['totalBytes', shape.isCount],
+    ],
+  ],
+  [
+    'callCredit',
+    [
+      ['call', shape.isCount],
+      ['bytes', shape.isCount],
+    ],
+  ],
+  [
+    'answerHead',
+    [
+      ['call', shape.isCount],
+      ['attempt', shape.isCount],
+      ['status', isStatus],
+      ['headers', isHeaderList],
+      ['contentLength', shape.nullable(shape.isCount)],
+    ],
+  ],
+  [
+    'answerBody',
+    [
+      ['call', shape.isCount],
+      ['chunk', shape.isBytes],
+    ],
+  ],
+  [
+    'answerEnd',
+    [['call', shape.isCount], ['totalBytes', shape.isCount], ...trailer],
+  ],
+  [
+    'refusal',
+    [
+      ['call', shape.isCount],
+      ['reason', shape.nameOf(outcomes.RefusalReason)],
+      ['final', shape.isBoolean],
+      ...trailer,
+    ],
+  ],
+  [
+    'unknownOutcome',
+    [
+      ['call', shape.isCount],
+      ['reason', shape.nameOf(outcomes.UnknownReason)],
+      ...trailer,
+    ],
+  ],
+  ['cancel', [['call', shape.isCount]]],
+]);
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -5,6 +5,9 @@
   SheddingThreshold,
 } from './context.js';
 export type * from './control-messages.js';
+export {FrameDecoder} from './frame-decoder.js';
+export type {DecodedFrame, UnsupportedRequest} from './frame-decoder.js';
+export {encodeFrame, MAXIMUM_FRAME_BYTES} from './frame-encoder.js';
 export type * from './frames.js';
 export {PROTOCOL_VERSION_MAXIMUM, PROTOCOL_VERSION_MINIMUM} from './frames.js';
 export {RefusalReason, UnknownReason} from './outcomes.js';
@@ -13,3 +16,5 @@
   RefusalReasonName,
   UnknownReasonName,
 } from './outcomes.js';
+export {negotiateVersion} from './version.js';
+export type {VersionRange} from './version.js';
