--- a/packages/protocol/src/frame-shapes.ts
+++ b/packages/protocol/src/frame-shapes.ts
@@ -1,21 +1,17 @@
 import * as outcomes from './outcomes.js';
 import * as shape from './shape.js';
 
-/** Headers are limited to 100 at the caller; daemons add a few. */
-const MAXIMUM_HEADERS = 128;
-
 const isHeaderList = shape.listOf(
   value =>
     Array.isArray(value) &&
     value.length === 2 &&
     typeof value[0] === 'string' &&
     typeof value[1] === 'string',
-  MAXIMUM_HEADERS,
 );
 const isImportance = shape.oneOf(0, 1, 2, 3);
 const isRank: shape.Check = value => shape.isAmount(value) && Number(value) < 1;
 const isStatus: shape.Check = value =>
-  shape.isCount(value) && Number(value) >= 200 && Number(value) <= 599;
+  shape.isCount(value) && Number(value) >= 200 && Number(value) <= 999;
 const isThreshold = shape.nullable(
   shape.fieldsOf([
     ['importance', isImportance],
--- a/packages/protocol/src/shape.ts
+++ b/packages/protocol/src/shape.ts
@@ -42,9 +42,8 @@
   return value => known.has(value);
 }
 
-export function listOf(check: Check, maximum = Infinity): Check {
-  return value =>
-    Array.isArray(value) && value.length <= maximum && value.every(check);
+export function listOf(check: Check): Check {
+  return value => Array.isArray(value) && value.every(check);
 }
 
 export function fieldsOf(shape: Shape): Check {
--- /dev/null
+++ b/packages/transport/src/connection-report.ts
@@ -0,0 +1,47 @@
+import type * as runtime from '@camphorwharf/runtime';
+import type * as options from './peer-options.js';
+
+/** Counters and log lines of one peer connection. */
+export class ConnectionReport {
+  private countedUnknownFrames = 0;
+
+  constructor(
+    private readonly options: Pick<options.PeerOptions, 'logger' | 'metrics'>,
+  ) {}
+
+  closed(reason: options.CloseReasonName, fields: runtime.LogFields): void {
+    this.options.metrics.count(
+      'peer_connections_closed_total',
+      'Peer connections that ended, by reason.',
+      {reason},
+    );
+    this.options.logger.info('peer-connection-closed', {reason, ...fields});
+  }
+
+  dropped(cause: string): void {
+    this.options.metrics.count(
+      'peer_frames_dropped_total',
+      'Frames of peer connections that were dropped, by cause.',
+      {cause},
+    );
+  }
+
+  /** Counts frames of unknown kinds up to `total`. */
+  unknownFrames(total: number): void {
+    for (; this.countedUnknownFrames < total; this.countedUnknownFrames++) {
+      this.dropped('unknownKind');
+    }
+  }
+
+  handlerFailed(what: 'call' | 'request', error: unknown): void {
+    this.options.metrics.count(
+      'peer_handler_errors_total',
+      'Handlers of peer calls and control requests that threw.',
+      {what},
+    );
+    this.options.logger.warn('peer-handler-failed', {
+      what,
+      error: error instanceof Error ? error.message : String(error),
+    });
+  }
+}
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -1,1 +1,22 @@
+export {PeerConnection} from './peer-connection.js';
 export type * from './peer-interfaces.js';
+export {PeerListener} from './peer-listener.js';
+export type {PeerListenerOptions} from './peer-listener.js';
+export {
+  CloseReason,
+  HEARTBEAT_INTERVAL_MS,
+  MAXIMUM_CALLS,
+  SILENCE_LIMIT_MS,
+} from './peer-options.js';
+export type {CloseReasonName, PeerOptions} from './peer-options.js';
+export {PeerPool} from './peer-pool.js';
+export {BackendServerClient} from './backend-client.js';
+export type {
+  BackendClientOptions,
+  BackendRequest,
+  ProbeAnswer,
+} from './backend-client.js';
+export type {BackendResult} from './backend-exchange.js';
+export type {CallerAnswer, CallerCall, CallerOutcome} from './caller-call.js';
+export {CallerServer} from './caller-server.js';
+export type {CallerServerOptions} from './caller-server.js';
--- /dev/null
+++ b/packages/transport/src/peer-connection.ts
@@ -0,0 +1,311 @@
+import type * as net from 'node:net';
+import * as protocol from '@camphorwharf/protocol';
+import * as runtime from '@camphorwharf/runtime';
+import * as callTable from './call-table.js';
+import * as connectionReport from './connection-report.js';
+import * as frameWriter from './frame-writer.js';
+import * as heartbeatLedger from './heartbeat-ledger.js';
+import type * as peer from './peer-interfaces.js';
+import * as options from './peer-options.js';
+import * as requestTable from './request-table.js';
+import * as socketReader from './socket-reader.js';
+
+/**
+ * One peer connection. A single task reads its frames in order; a second one
+ * sends heartbeats and watches for silence. Owns the socket, the calls and
+ * the control requests in flight.
+ */
+export class PeerConnection implements peer.PeerLink {
+  /** Resolves with the reason when the connection has ended. */
+  readonly ended: Promise<options.CloseReasonName>;
+  private readonly decoder = new protocol.FrameDecoder();
+  private readonly writer: frameWriter.FrameWriter;
+  private readonly heartbeats: heartbeatLedger.HeartbeatLedger;
+  private readonly calls: callTable.CallTable;
+  private readonly requests: requestTable.RequestTable;
+  private readonly report: connectionReport.ConnectionReport;
+  private readonly lifetime = new AbortController();
+  private remoteHello: protocol.Hello | null = null;
+  private closeReason: options.CloseReasonName | null = null;
+  private resolveEnded!: (reason: options.CloseReasonName) => void;
+  private onOpened: (error: Error | null) => void = () => undefined;
+
+  private constructor(
+    private readonly socket: net.Socket,
+    private readonly options: options.PeerOptions,
+    initiator: boolean,
+  ) {
+    const {clock, handler, hello} = options;
+    this.report = new connectionReport.ConnectionReport(options);
+    this.ended = new Promise(resolve => {
+      this.resolveEnded = resolve;
+    });
+    socket.setNoDelay(true);
+    this.writer = new frameWriter.FrameWriter(socket, () =>
+      this.end('outputFull'),
+    );
+    this.heartbeats = new heartbeatLedger.HeartbeatLedger(clock.monotonicMs());
+    this.calls = new callTable.CallTable({
+      writer: this.writer,
+      initiator,
+      onCall: call => handler.onCall(call, this),
+      onDropped: cause => this.report.dropped(cause),
+      onHandlerError: error => this.report.handlerFailed('call', error),
+    });
+    this.requests = new requestTable.RequestTable({
+      writer: this.writer,
+      clock,
+      onRequest: body => handler.onRequest(body, this),
+      onDropped: cause => this.report.dropped(cause),
+      onHandlerError: error => this.report.handlerFailed('request', error),
+    });
+    this.writer.write({
+      kind: 'hello',
+      versionMinimum: protocol.PROTOCOL_VERSION_MINIMUM,
+      versionMaximum: protocol.PROTOCOL_VERSION_MAXIMUM,
+      ...hello,
+    });
+  }
+
+  /**
+   * Takes over a connected socket. Resolves after the hello of the other
+   * end; throws ConnectionError when that does not come in time.
+   */
+  static open(
+    socket: net.Socket,
+    connectionOptions: options.PeerOptions,
+    initiator: boolean,
+  ): Promise<PeerConnection> {
+    const connection = new PeerConnection(socket, connectionOptions, initiator);
+    return new Promise((resolve, reject) => {
+      connection.onOpened = error => {
+        connection.onOpened = () => undefined;
+        if (error) reject(error);
+        else resolve(connection);
+      };
+      void connection.run();
+    });
+  }
+
+  get remote(): protocol.Hello {
+    if (!this.remoteHello) throw new Error('The connection is not open yet.');
+    return this.remoteHello;
+  }
+
+  get closed(): boolean {
+    return this.closeReason !== null;
+  }
+
+  /** Whether no call and no control request is in flight. */
+  get idle(): boolean {
+    return this.calls.idle && this.requests.idle;
+  }
+
+  request(
+    body: protocol.ControlRequest,
+    timeoutMs: number,
+  ): Promise<protocol.ControlReply> {
+    if (this.closed) return Promise.reject(closedError(this.closeReason));
+    return this.requests.ask(body, timeoutMs);
+  }
+
+  call(
+    head: peer.OutgoingCall,
+    body: AsyncIterable<Uint8Array> | null,
+    callOptions: peer.OutgoingCallOptions,
+  ): Promise<peer.PeerResult> {
+    if (this.closed) return Promise.resolve({kind: 'lost', sent: false});
+    return this.calls.start(
+      head,
+      body,
+      this.heartbeats.permission(
+        this.options.clock.monotonicMs(),
+        callOptions.permissionMs,
+      ),
+      callOptions.signal,
+    );
+  }
+
+  close(reason: string): void {
+    this.options.logger.debug('peer-close-requested', {reason});
+    this.end('requested');
+  }
+
+  /**
+   * Closes once no call and no control request is in flight. Resolves when
+   * the connection has ended, for whatever reason.
+   */
+  async closeWhenIdle(): Promise<void> {
+    while (!this.closed && !this.idle) {
+      await Promise.race([
+        this.calls.untilIdle().then(() => this.requests.untilIdle()),
+        this.ended,
+      ]);
+    }
+    this.end('idle');
+    await this.ended;
+  }
+
+  private async run(): Promise<void> {
+    const {clock} = this.options;
+    void this.limitOpening();
+    const reader = new socketReader.SocketReader(this.socket);
+    try {
+      for (;;) {
+        const chunk = await reader.read();
+        if (this.closed) return;
+        if (chunk === null) {
+          this.end('remoteClosed');
+          return;
+        }
+        this.decoder.feed(chunk);
+        for (
+          let frame = this.decoder.read();
+          frame !== null && !this.closed;
+          frame = this.decoder.read()
+        ) {
+          this.heartbeats.onFrame(clock.monotonicMs());
+          if (this.remoteHello) this.dispatch(frame);
+          else this.acceptHello(frame);
+        }
+        this.report.unknownFrames(this.decoder.unknownFrames);
+      }
+    } catch (error) {
+      const malformed = error instanceof runtime.ProtocolError;
+      this.end(malformed ? 'malformed' : 'socketError', error);
+    }
+  }
+
+  private acceptHello(frame: protocol.DecodedFrame): void {
+    if (frame.kind !== 'hello') {
+      throw new runtime.ProtocolError(
+        `The first frame is "${frame.kind}" where "hello" is required. Check ` +
+          'that the other end is a camphorwharf daemon.',
+      );
+    }
+    const version = protocol.negotiateVersion(
+      {
+        versionMinimum: protocol.PROTOCOL_VERSION_MINIMUM,
+        versionMaximum: protocol.PROTOCOL_VERSION_MAXIMUM,
+      },
+      frame,
+    );
+    if (version === null) {
+      this.end('versionMismatch');
+      return;
+    }
+    this.remoteHello = frame;
+    this.heartbeats.onHello(this.options.clock.monotonicMs());
+    void this.beat();
+    this.onOpened(null);
+  }
+
+  private dispatch(frame: protocol.DecodedFrame): void {
+    const {calls, requests} = this;
+    switch (frame.kind) {
+      case 'hello':
+        this.report.dropped('duplicate');
+        return;
+      case 'heartbeat': {
+        const nowMs = this.options.clock.monotonicMs();
+        if (!this.heartbeats.receive(frame, nowMs)) {
+          this.report.dropped('duplicate');
+        }
+        return;
+      }
+      case 'call': {
+        const nowMs = this.options.clock.monotonicMs();
+        calls.accept(frame, this.heartbeats.inTime(frame.permission, nowMs));
+        return;
+      }
+      case 'request':
+        requests.accept(frame);
+        return;
+      case 'unsupportedRequest':
+        requests.rejectUnsupported(frame.request);
+        return;
+      case 'reply':
+        requests.settle(frame);
+        return;
+      case 'callBody':
+      case 'callCredit':
+      case 'answerHead':
+      case 'answerBody':
+      case 'answerEnd':
+      case 'refusal':
+      case 'unknownOutcome':
+      case 'cancel':
+        calls.dispatch(frame);
+        return;
+    }
+  }
+
+  private async beat(): Promise<void> {
+    const {clock} = this.options;
+    const intervalMs =
+      this.options.heartbeatIntervalMs ?? options.HEARTBEAT_INTERVAL_MS;
+    const limitMs = this.options.silenceLimitMs ?? options.SILENCE_LIMIT_MS;
+    while (!this.closed) {
+      const startedMs = clock.monotonicMs();
+      this.writer.write(this.heartbeats.send(startedMs));
+      await clock.delay(intervalMs, this.lifetime.signal);
+      // After a stall of this process, what waits in the kernel is read
+      // before the other end is judged.
+      if (clock.monotonicMs() - startedMs > 2 * intervalMs) {
+        await new Promise(resolve => setImmediate(resolve));
+      }
+      if (this.closed) return;
+      const direction = this.heartbeats.silent(clock.monotonicMs(), limitMs);
+      if (direction) this.end('silent', undefined, direction);
+    }
+  }
+
+  private async limitOpening(): Promise<void> {
+    const limitMs = this.options.openingLimitMs ?? options.OPENING_LIMIT_MS;
+    await this.options.clock.delay(limitMs, this.lifetime.signal);
+    if (!this.remoteHello) this.end('noHello');
+  }
+
+  private end(
+    reason: options.CloseReasonName,
+    error?: unknown,
+    direction?: string,
+  ): void {
+    if (this.closeReason) return;
+    this.closeReason = reason;
+    const graceful = reason === 'requested' || reason === 'idle';
+    if (graceful) this.socket.destroySoon();
+    else this.socket.destroy();
+    if (graceful) void this.limitFlush();
+    this.lifetime.abort();
+    const failure = closedError(reason, error);
+    this.calls.fail(failure);
+    this.requests.fail(failure);
+    this.report.closed(reason, {
+      ...(direction === undefined ? {} : {direction}),
+      hostId: this.remoteHello?.hostId ?? null,
+      address: this.socket.remoteAddress ?? null,
+      ...(error instanceof Error ? {error: error.message} : {}),
+    });
+    this.onOpened(failure);
+    this.resolveEnded(reason);
+  }
+
+  /** A peer that does not read must not keep a closed socket alive. */
+  private async limitFlush(): Promise<void> {
+    const flushed = new AbortController();
+    this.socket.once('close', () => flushed.abort());
+    await this.options.clock.delay(
+      this.options.silenceLimitMs ?? options.SILENCE_LIMIT_MS,
+      flushed.signal,
+    );
+    this.socket.destroy();
+  }
+}
+
+function closedError(reason: string | null, cause?: unknown): Error {
+  return new runtime.ConnectionError(
+    `The peer connection ended (${reason ?? 'closed'}). Open a new one.`,
+    {cause},
+  );
+}
