--- /dev/null
+++ b/packages/command-line/src/demo/fleet.ts
@@ -0,0 +1,255 @@
+import * as declaration from '@camphorwharf/declaration';
+import * as runtime from '@camphorwharf/runtime';
+import * as fs from 'node:fs';
+import * as net from 'node:net';
+import * as path from 'node:path';
+import * as url from 'node:url';
+import type * as deployments from './deployments.js';
+import * as processSet from './process-set.js';
+
+/** One host of the demo: a backend server and its daemon. */
+export interface DemoHost {
+  readonly entry: declaration.HostEntry;
+  readonly operatorPort: number;
+  readonly backendServerPort: number;
+  readonly settingsFile: string;
+  backendServer: processSet.DemoProcess | null;
+  daemon: processSet.DemoProcess | null;
+}
+
+const LOOPBACK = '127.0.0.1';
+const READY_LIMIT_MS = 30_000;
+
+/** A whole deployment as processes on loopback. */
+export class DemoFleet {
+  readonly hosts: DemoHost[] = [];
+  platformUrl = '';
+
+  constructor(
+    private readonly deployment: deployments.DemoDeployment,
+    private readonly folder: string,
+    private readonly processes: processSet.ProcessSet,
+    private readonly clock: runtime.Clock,
+    private readonly seed: number,
+  ) {}
+
+  /** Starts the platform, the backend servers and the daemons. */
+  async start(progress: (message: string) => void): Promise<void> {
+    const platform = await this.processes.start(
+      'platform',
+      program('@camphorwharf/stand-ins', 'platform-main.js'),
+      [],
+    );
+    this.platformUrl = `http://${LOOPBACK}:${String(platform.firstLine['port'])}`;
+    await this.planHosts();
+    progress(`starting ${this.hosts.length} backend servers and daemons`);
+    await this.publishHosts();
+    await Promise.all(this.hosts.map(host => this.startHost(host)));
+  }
+
+  /** Waits until each daemon reports that it is ready. */
+  async awaitReady(): Promise<void> {
+    const endMs = this.clock.monotonicMs() + READY_LIMIT_MS;
+    for (const host of this.hosts) {
+      while (!(await isReady(host.operatorPort))) {
+        if (this.clock.monotonicMs() > endMs) {
+          throw new runtime.TimeoutError(
+            `${host.entry.hostId} is not ready; read its log in ${this.folder}`,
+          );
+        }
+        await this.clock.delay(50);
+      }
+    }
+  }
+
+  /** Publishes a document; the platform serves it at once. */
+  async publishDocument(
+    document: declaration.PublishedDocument,
+  ): Promise<void> {
+    const text = declaration.serializeDocument(document);
+    await this.control('document', {
+      revision: document.revision,
+      document: text,
+    });
+  }
+
+  /** Publishes the list of hosts whose daemon is not known to be lost. */
+  async publishHosts(without: ReadonlySet<string> = new Set()): Promise<void> {
+    const hosts = this.hosts
+      .map(host => host.entry)
+      .filter(entry => !without.has(entry.hostId));
+    await this.control('hosts', {hosts});
+  }
+
+  /** Injects faults into a backend server and returns its report. */
+  async controlBackendServer(
+    host: DemoHost,
+    body: Readonly<Record<string, unknown>>,
+  ): Promise<Readonly<Record<string, unknown>>> {
+    return postJson(
+      `http://${LOOPBACK}:${host.backendServerPort}/control`,
+      body,
+    );
+  }
+
+  hostsOf(service: string): DemoHost[] {
+    return this.hosts.filter(host => host.entry.service === service);
+  }
+
+  callerUrls(without: ReadonlySet<string> = new Set()): string[] {
+    return this.hosts
+      .filter(host => !without.has(host.entry.hostId))
+      .map(host => `http://${LOOPBACK}:${host.entry.callerPort}`);
+  }
+
+  private async control(
+    kind: string,
+    body: Readonly<Record<string, unknown>>,
+  ): Promise<void> {
+    await postJson(`${this.platformUrl}/control/${kind}`, body);
+  }
+
+  private async planHosts(): Promise<void> {
+    const {availabilityZones, region, services} = this.deployment;
+    const total = services.reduce((sum, {targets}) => sum + targets, 0);
+    const ports = await freePorts(4 * total);
+    for (const service of services) {
+      for (let index = 0; index < service.targets; index++) {
+        const hostId = `${service.name}-${index + 1}`;
+        const [callerPort, peerPort, operatorPort, backendServerPort] =
+          ports.splice(0, 4);
+        this.hosts.push({
+          entry: {
+            hostId,
+            address: LOOPBACK,
+            callerPort,
+            peerPort,
+            service: service.name,
+            region,
+            availabilityZone:
+              availabilityZones[this.hosts.length % availabilityZones.length],
+            state: declaration.HostState.live,
+          },
+          operatorPort,
+          backendServerPort,
+          settingsFile: path.join(this.folder, `${hostId}.toml`),
+          backendServer: null,
+          daemon: null,
+        });
+      }
+    }
+  }
+
+  private async startHost(host: DemoHost): Promise<void> {
+    const {entry} = host;
+    const service = this.deployment.services.find(
+      candidate => candidate.name === entry.service,
+    )!;
+    const index = this.hosts.indexOf(host);
+    host.backendServer = await this.processes.start(
+      `${entry.hostId}-backend-server`,
+      program('@camphorwharf/stand-ins', 'backend-server-main.js'),
+      [
+        `--port=${host.backendServerPort}`,
+        `--service=${service.name}`,
+        `--slots=${service.slots}`,
+        `--connection-limit=${service.connections}`,
+        `--service-time-ms=${service.serviceTimeMs}`,
+        `--seed=${this.seed * 1_000 + index}`,
+        `--daemon-url=http://${LOOPBACK}:${entry.callerPort}`,
+        `--downstream=${JSON.stringify(service.downstream)}`,
+      ],
+    );
+    await this.startDaemon(host);
+  }
+
+  /** Starts the daemon of a host, the first time or again. */
+  async startDaemon(host: DemoHost): Promise<void> {
+    fs.writeFileSync(host.settingsFile, this.settingsText(host));
+    host.daemon = await this.processes.start(
+      `${host.entry.hostId}-daemon`,
+      program('@camphorwharf/daemon', 'main.js'),
+      ['--settings', host.settingsFile],
+    );
+  }
+
+  private settingsText(host: DemoHost): string {
+    const {entry} = host;
+    const seeds = this.hosts
+      .filter(other => other !== host)
+      .slice(0, 3)
+      .map(other => `"${LOOPBACK}:${other.entry.peerPort}"`);
+    return [
+      `host_id = "${entry.hostId}"`,
+      `region = "${entry.region}"`,
+      `availability_zone = "${entry.availabilityZone}"`,
+      `service = "${entry.service}"`,
+      '[listen]',
+      `address = "${LOOPBACK}"`,
+      `caller_port = ${entry.callerPort}`,
+      `peer_port = ${entry.peerPort}`,
+      `operator_port = ${host.operatorPort}`,
+      '[backend_server]',
+      `address = "${LOOPBACK}"`,
+      `port = ${host.backendServerPort}`,
+      '[platform]',
+      `url = "${this.platformUrl}"`,
+      '[peers]',
+      `seeds = [${seeds.join(', ')}]`,
+      '',
+    ].join('\n');
+  }
+}
+
+function program(packageName: string, file: string): string {
+  const index = url.fileURLToPath(import.meta.resolve(packageName));
+  return path.join(path.dirname(index), file);
+}
+
+async function isReady(operatorPort: number): Promise<boolean> {
+  try {
+    const answer = await fetch(`http://${LOOPBACK}:${operatorPort}/readyz`);
+    await answer.arrayBuffer();
+    return answer.ok;
+  } catch {
+    return false;
+  }
+}
+
+async function postJson(
+  target: string,
+  body: Readonly<Record<string, unknown>>,
+): Promise<Readonly<Record<string, unknown>>> {
+  const answer = await fetch(target, {
+    method: 'POST',
+    headers: {'content-type': 'application/json'},
+    body: JSON.stringify(body),
+  });
+  if (!answer.ok) {
+    throw new runtime.ConnectionError(
+      `${target} answered ${answer.status}; check that it is a stand-in`,
+    );
+  }
+  return (await answer.json()) as Record<string, unknown>;
+}
+
+/** Finds free ports; all are held open together so that none repeats. */
+async function freePorts(count: number): Promise<number[]> {
+  const servers = await Promise.all(
+    Array.from(
+      {length: count},
+      () =>
+        new Promise<net.Server>(resolve => {
+          const server = net.createServer();
+          server.listen(0, LOOPBACK, () => resolve(server));
+        }),
+    ),
+  );
+  const ports = servers.map(
+    server => (server.address() as net.AddressInfo).port,
+  );
+  await Promise.all(
+    servers.map(server => new Promise(resolve => server.close(resolve))),
+  );
+  return ports;
+}
--- /dev/null
+++ b/packages/command-line/src/demo/observations.ts
@@ -0,0 +1,109 @@
+import type * as standIns from '@camphorwharf/stand-ins';
+
+/** Width of one point of the plot. */
+export const BIN_MS = 250;
+
+/** What one time bin saw. */
+export interface Bin {
+  completed: number;
+  refused: number;
+  unknown: number;
+  other: number;
+}
+
+/** Outcomes over time, over several load runs. */
+export class Observations {
+  readonly bins: Bin[] = [];
+  readonly marks: Array<{readonly atMs: number; readonly text: string}> = [];
+
+  constructor(
+    readonly startMs: number,
+    private readonly now: () => number,
+  ) {}
+
+  mark(text: string): void {
+    this.marks.push({atMs: this.now() - this.startMs, text});
+  }
+
+  add(sample: standIns.LoadSample): void {
+    const bin = this.binAt(this.now());
+    switch (sample.outcome.kind) {
+      case 'completed':
+        bin.completed++;
+        break;
+      case 'notRun':
+        bin.refused++;
+        break;
+      case 'unknown':
+        bin.unknown++;
+        break;
+      case 'failed':
+      case 'transportError':
+      case 'wrongAnswer':
+        bin.other++;
+        break;
+    }
+  }
+
+  private binAt(nowMs: number): Bin {
+    const index = Math.floor((nowMs - this.startMs) / BIN_MS);
+    while (this.bins.length <= index) {
+      this.bins.push({completed: 0, refused: 0, unknown: 0, other: 0});
+    }
+    return this.bins[index];
+  }
+}
+
+const WIDTH = 960;
+const HEIGHT = 320;
+const MARGIN = 40;
+
+const SERIES = [
+  {name: 'completed', colour: '#2a7a3b'},
+  {name: 'refused', colour: '#b36b00'},
+  {name: 'unknown', colour: '#8a2be2'},
+  {name: 'other', colour: '#c1121f'},
+] as const;
+
+/** Draws the outcomes per second over time as an SVG document. */
+export function renderPlot(observations: Observations): string {
+  const {bins, marks} = observations;
+  const perSecond = 1_000 / BIN_MS;
+  const highest = Math.max(
+    1,
+    ...bins.flatMap(bin => SERIES.map(({name}) => bin[name] * perSecond)),
+  );
+  const horizontal = (atMs: number) =>
+    MARGIN + ((WIDTH - 2 * MARGIN) * atMs) / Math.max(1, bins.length * BIN_MS);
+  const vertical = (value: number) =>
+    HEIGHT - MARGIN - ((HEIGHT - 2 * MARGIN) * value) / highest;
+  const lines = SERIES.map(({name, colour}, row) => {
+    const points = bins
+      .map(
+        (bin, index) =>
+          `${horizontal(index * BIN_MS).toFixed(1)},` +
+          `${vertical(bin[name] * perSecond).toFixed(1)}`,
+      )
+      .join(' ');
+    return (
+      `<polyline fill="none" stroke="${colour}" points="${points}"/>` +
+      `<text x="${MARGIN + row * 110}" y="${HEIGHT - 8}" fill="${colour}">` +
+      `${name}/s</text>`
+    );
+  });
+  const labels = marks.map(({atMs, text}, index) => {
+    const x = horizontal(atMs).toFixed(1);
+    const y = 12 + (index % 3) * 12;
+    return (
+      `<line x1="${x}" x2="${x}" y1="${MARGIN}" y2="${HEIGHT - MARGIN}" ` +
+      `stroke="#999" stroke-dasharray="3"/><text x="${x}" y="${y}">${text}</text>`
+    );
+  });
+  return (
+    `<svg xmlns="http://www.w3.org/2000/svg" width="${WIDTH}" ` +
+    `height="${HEIGHT}" font-size="11" font-family="sans-serif">` +
+    `<rect width="100%" height="100%" fill="#fff"/>` +
+    `<text x="4" y="${MARGIN}">${highest.toFixed(0)}</text>` +
+    `${lines.join('')}${labels.join('')}</svg>\n`
+  );
+}
--- /dev/null
+++ b/packages/daemon/src/call-router.ts
@@ -0,0 +1,290 @@
+import type * as declaration from '@camphorwharf/declaration';
+import type * as protocol from '@camphorwharf/protocol';
+import * as protocolValues from '@camphorwharf/protocol';
+import type * as runtime from '@camphorwharf/runtime';
+import type * as transport from '@camphorwharf/transport';
+import type * as callResult from './call-result.js';
+import * as deadlineSignal from './deadline-signal.js';
+import type * as outgoing from './outgoing-request.js';
+
+/** Longest time for which a target may start a call after it was sent. */
+export const PERMISSION_LIFETIME_MS = 2_000;
+
+/** Extra wait for the target's own verdict on an expired call. */
+const VERDICT_GRACE_MS = 100;
+
+/** Time limit for asking a target never to start a call. */
+const CANCEL_QUERY_TIMEOUT_MS = 1_000;
+
+export interface CallRouterOptions {
+  readonly clock: runtime.Clock;
+  readonly metrics: runtime.Metrics;
+  readonly peers: transport.PeerDirectory;
+  readonly targets: outgoing.TargetChoice;
+}
+
+type AttemptResult =
+  | {readonly kind: 'final'; readonly result: callResult.CallResult}
+  | {
+      readonly kind: 'notRun';
+      readonly result: callResult.CallResult & {readonly kind: 'refused'};
+    }
+  | {
+      readonly kind: 'mayHaveRun';
+      readonly result: callResult.CallResult & {readonly kind: 'unknown'};
+    };
+
+/**
+ * Sends calls to targets. Retries within the request's budget, and sends a
+ * non-idempotent call again only on proof that the earlier attempt never runs.
+ */
+export class CallRouter {
+  constructor(private readonly options: CallRouterOptions) {}
+
+  async send(
+    request: outgoing.OutgoingRequest,
+  ): Promise<callResult.CallResult> {
+    const {clock} = this.options;
+    const excluded = new Set<string>();
+    request.retryRatio.noteFirstAttempt(clock.monotonicMs());
+    let doubt: callResult.CallResult | null = null;
+    for (let attempt = 1; ; attempt++) {
+      const outcome = await this.attempt(request, attempt, excluded);
+      if (outcome.kind === 'mayHaveRun') doubt = outcome.result;
+      if (outcome.kind === 'final' || !this.mayRetry(request, outcome)) {
+        // A refusal of the last attempt says nothing of an earlier one that
+        // may have run, so "not run" would be false.
+        const refused = outcome.result.kind === 'refused';
+        return refused && doubt ? doubt : outcome.result;
+      }
+      this.options.metrics.count(
+        'retries_total',
+        'Attempts after the first, by the reason of the failure before.',
+        {reason: outcome.result.reason},
+      );
+    }
+  }
+
+  private mayRetry(
+    request: outgoing.OutgoingRequest,
+    outcome: Exclude<AttemptResult, {kind: 'final'}>,
+  ): boolean {
+    const nowMs = this.options.clock.monotonicMs();
+    if (request.signal.aborted || nowMs >= request.deadlineMs) return false;
+    if (outcome.kind === 'mayHaveRun' && !request.context.idempotent) {
+      return false;
+    }
+    if (request.body && !request.body.replayable) return false;
+    if (!request.budget.takeOne()) {
+      this.countDenied('budget');
+      return false;
+    }
+    if (request.retryRatio.tryRetry(nowMs)) return true;
+    this.countDenied('ratio');
+    return false;
+  }
+
+  private countDenied(cause: 'budget' | 'ratio'): void {
+    this.options.metrics.count(
+      'retries_denied_total',
+      'Retries not made because the budget or the ratio was spent.',
+      {cause},
+    );
+  }
+
+  private async attempt(
+    request: outgoing.OutgoingRequest,
+    attempt: number,
+    excluded: Set<string>,
+  ): Promise<AttemptResult> {
+    const {clock, targets, peers} = this.options;
+    const startMs = clock.monotonicMs();
+    const choice = targets.choose(
+      request.service,
+      request.context,
+      startMs,
+      excluded,
+    );
+    if (choice.kind === 'none') {
+      return final({kind: 'refused', reason: choice.reason, final: true});
+    }
+    const {host} = choice;
+    excluded.add(host.hostId);
+    let link: transport.PeerLink;
+    try {
+      link = await peers.connect(host.address, host.peerPort);
+    } catch {
+      targets.noteEnded(host.hostId, 'failed', 0, clock.monotonicMs());
+      return notRun('targetUnavailable');
+    }
+    targets.noteSent(host.hostId, startMs);
+    return this.exchange(request, attempt, host, link);
+  }
+
+  private async exchange(
+    request: outgoing.OutgoingRequest,
+    attempt: number,
+    host: declaration.HostEntry,
+    link: transport.PeerLink,
+  ): Promise<AttemptResult> {
+    const {clock} = this.options;
+    const sentMs = clock.monotonicMs();
+    const remainingMs = request.deadlineMs - sentMs;
+    if (remainingMs <= 0) {
+      this.options.targets.noteEnded(host.hostId, 'refused', 0, sentMs);
+      return final({kind: 'refused', reason: 'deadlineExpired', final: true});
+    }
+    const share = request.budget.takeShare();
+    const limit = new deadlineSignal.DeadlineSignal(
+      clock,
+      request.signal,
+      remainingMs + VERDICT_GRACE_MS,
+    );
+    const result = await link.call(
+      {
+        attempt,
+        service: request.service,
+        method: request.method,
+        path: request.path,
+        headers: request.headers,
+        contentLength: request.contentLength,
+        hasBody: request.body !== null,
+        context: {...request.context, remainingMs, retries: share},
+      },
+      request.body ? request.body.open() : null,
+      {
+        permissionMs: Math.min(remainingMs, PERMISSION_LIFETIME_MS),
+        signal: limit.signal,
+      },
+    );
+    return this.conclude(request, attempt, host, link, sentMs, limit, result);
+  }
+
+  private async conclude(
+    request: outgoing.OutgoingRequest,
+    attempt: number,
+    host: declaration.HostEntry,
+    link: transport.PeerLink,
+    sentMs: number,
+    limit: deadlineSignal.DeadlineSignal,
+    result: transport.PeerResult,
+  ): Promise<AttemptResult> {
+    const {clock, targets} = this.options;
+    const settle = (
+      verdict: 'succeeded' | 'refused' | 'failed',
+      trailer: transport.AnswerTrailer | null,
+    ) => {
+      const nowMs = clock.monotonicMs();
+      limit.release();
+      targets.noteEnded(host.hostId, verdict, nowMs - sentMs, nowMs);
+      if (!trailer) return;
+      request.budget.giveBack(trailer.unspentRetries);
+      targets.learnThreshold(host.hostId, trailer.threshold, nowMs);
+    };
+    switch (result.kind) {
+      case 'answer': {
+        const finished = result.trailer.then(
+          trailer => {
+            settle('succeeded', trailer);
+            return true;
+          },
+          () => {
+            settle('failed', null);
+            return false;
+          },
+        );
+        const {status, headers, contentLength, body} = result;
+        return final({
+          kind: 'answer',
+          status,
+          headers,
+          contentLength,
+          body,
+          finished,
+        });
+      }
+      case 'refused':
+        settle('refused', result);
+        if (result.final || !isRetryable(result.reason)) {
+          return final({
+            kind: 'refused',
+            reason: result.reason,
+            final: result.final,
+          });
+        }
+        return notRun(result.reason);
+      case 'unknown':
+        settle('failed', result);
+        return mayHaveRun(result.reason);
+      case 'lost': {
+        const expired = limit.expired;
+        settle('failed', null);
+        if (!result.sent) return notRun('targetUnavailable');
+        if (request.context.idempotent) {
+          return mayHaveRun(expired ? 'deadlineDuringRun' : 'answerLost');
+        }
+        const neverRuns = await this.proveNeverStarts(
+          request.context.requestId,
+          attempt,
+          host,
+          link.remote.incarnation,
+        );
+        if (neverRuns) return notRun('targetUnavailable');
+        return mayHaveRun(expired ? 'deadlineDuringRun' : 'answerLost');
+      }
+    }
+  }
+
+  /**
+   * Asks the target's daemon, over a fresh connection, never to start the
+   * attempt. Only the answer of the incarnation that the call was sent to
+   * is proof.
+   */
+  private async proveNeverStarts(
+    requestId: string,
+    attempt: number,
+    host: declaration.HostEntry,
+    incarnation: string,
+  ): Promise<boolean> {
+    let verdict = 'unreachable';
+    try {
+      const fresh = await this.options.peers.connectFresh(
+        host.address,
+        host.peerPort,
+      );
+      try {
+        const reply = await fresh.request(
+          {kind: 'cancelIfNotStarted', requestId, attempt, incarnation},
+          CANCEL_QUERY_TIMEOUT_MS,
+        );
+        if (reply.kind === 'cancelAnswer') verdict = reply.verdict;
+      } finally {
+        fresh.close('query finished');
+      }
+    } catch {
+      verdict = 'unreachable';
+    }
+    this.options.metrics.count(
+      'cancel_queries_total',
+      'Queries that ask a target never to start a call, by verdict.',
+      {verdict},
+    );
+    return verdict === 'neverStarts';
+  }
+}
+
+function isRetryable(reason: protocol.RefusalReasonName): boolean {
+  return protocolValues.RefusalReason[reason].retryable;
+}
+
+function final(result: callResult.CallResult): AttemptResult {
+  return {kind: 'final', result};
+}
+
+function notRun(reason: protocol.RefusalReasonName): AttemptResult {
+  return {kind: 'notRun', result: {kind: 'refused', reason, final: false}};
+}
+
+function mayHaveRun(reason: protocol.UnknownReasonName): AttemptResult {
+  return {kind: 'mayHaveRun', result: {kind: 'unknown', reason}};
+}
--- /dev/null
+++ b/packages/daemon/src/health-task.ts
@@ -0,0 +1,92 @@
+import type * as runtime from '@camphorwharf/runtime';
+import type * as transport from '@camphorwharf/transport';
+
+/** Interval between two probes of the local backend server. */
+const PROBE_INTERVAL_MS = 500;
+const PROBE_TIMEOUT_MS = 1_000;
+/** Failed probes in a row after which no new calls are accepted. */
+const FAILURES_UNTIL_DOWN = 3;
+
+export type BackendServerHealth = 'up' | 'down' | 'leaving';
+
+export interface HealthTaskOptions {
+  readonly clock: runtime.Clock;
+  readonly logger: runtime.Logger;
+  readonly metrics: runtime.Metrics;
+  readonly client: transport.BackendServerClient;
+  readonly healthPath: string;
+  readonly loadPath: string;
+  readonly onHealth: (health: BackendServerHealth) => void;
+  readonly onLoad: (inFlight: number, slots: number) => void;
+}
+
+/**
+ * Probes the health and the load report of the local backend server. Both may
+ * lag or mislead: health only stops new calls, and load is a hint.
+ */
+export class HealthTask {
+  health: BackendServerHealth = 'up';
+  private failures = 0;
+
+  constructor(private readonly options: HealthTaskOptions) {}
+
+  async run(signal: AbortSignal): Promise<void> {
+    while (!signal.aborted) {
+      this.change(await this.probeHealth());
+      if (this.health !== 'down') await this.probeLoad();
+      await this.options.clock.delay(PROBE_INTERVAL_MS, signal);
+    }
+  }
+
+  private async probeHealth(): Promise<BackendServerHealth> {
+    const {client, healthPath, metrics} = this.options;
+    try {
+      const answer = await client.probe(healthPath, PROBE_TIMEOUT_MS);
+      // A health report that fails is a report; only silence counts as down.
+      this.failures = 0;
+      return isLeaving(answer.body) ? 'leaving' : 'up';
+    } catch {
+      this.failures++;
+      metrics.count(
+        'health_probes_failed_total',
+        'Probes of the local backend server without an answer.',
+      );
+      return this.failures >= FAILURES_UNTIL_DOWN ? 'down' : this.health;
+    }
+  }
+
+  private async probeLoad(): Promise<void> {
+    const {client, loadPath, onLoad} = this.options;
+    try {
+      const answer = await client.probe(loadPath, PROBE_TIMEOUT_MS);
+      const load = JSON.parse(answer.body) as Record<string, unknown>;
+      const {inFlight, slots} = load;
+      if (isCount(inFlight) && isCount(slots)) onLoad(inFlight, slots);
+    } catch {
+      // The report is only a hint, so a missing one changes nothing.
+    }
+  }
+
+  private change(health: BackendServerHealth): void {
+    if (health === this.health) return;
+    this.options.logger.info('backend-server-health-changed', {
+      from: this.health,
+      to: health,
+    });
+    this.health = health;
+    this.options.onHealth(health);
+  }
+}
+
+function isLeaving(body: string): boolean {
+  try {
+    const report = JSON.parse(body) as Record<string, unknown>;
+    return report['state'] === 'leaving';
+  } catch {
+    return false;
+  }
+}
+
+function isCount(value: unknown): value is number {
+  return typeof value === 'number' && Number.isFinite(value) && value >= 0;
+}
--- /dev/null
+++ b/packages/daemon/src/settings.ts
@@ -0,0 +1,83 @@
+import * as runtime from '@camphorwharf/runtime';
+import * as toml from 'smol-toml';
+import * as zod from 'zod';
+
+const port = zod.int().min(1).max(65_535);
+const name = zod.string().regex(/^[a-z0-9][a-z0-9.-]{0,62}$/);
+const path = zod.string().startsWith('/');
+
+const settingsSchema = zod.strictObject({
+  host_id: name,
+  region: name,
+  availability_zone: name,
+  service: name,
+  listen: zod.strictObject({
+    address: zod.union([zod.ipv4(), zod.ipv6()]),
+    caller_port: port,
+    peer_port: port,
+    operator_port: port,
+  }),
+  backend_server: zod.strictObject({
+    address: zod.union([zod.ipv4(), zod.ipv6()]),
+    port,
+    health_path: path.default('/health'),
+    load_path: path.default('/load'),
+  }),
+  platform: zod.strictObject({url: zod.url({protocol: /^https?$/})}),
+  peers: zod
+    .strictObject({
+      seeds: zod.array(zod.string().regex(/^[^\s]+:\d{1,5}$/)).default([]),
+    })
+    .default({seeds: []}),
+  log: zod
+    .strictObject({
+      level: zod.enum(['debug', 'info', 'warn', 'error']).default('info'),
+    })
+    .default({level: 'info'}),
+  limits: zod
+    .strictObject({
+      caller_connections: zod.int().min(10).max(20_000).default(2_000),
+      drain_seconds: zod.number().min(1).max(600).default(30),
+    })
+    .default({caller_connections: 2_000, drain_seconds: 30}),
+});
+
+/** Checked settings of one daemon, as its TOML file states them. */
+export type Settings = zod.infer<typeof settingsSchema>;
+
+/** What each kind of problem asks the operator to do. */
+const REMEDIES: Readonly<Record<string, string>> = {
+  unrecognized_keys: 'remove the key or correct its spelling',
+  invalid_type: 'set a value of the type that is named',
+  too_small: 'raise the value',
+  too_big: 'lower the value',
+  invalid_format: 'write the value in the form that is named',
+};
+
+/**
+ * Parses and checks a settings file.
+ * Throws ConfigurationError that lists every problem with its path and remedy.
+ */
+export function parseSettings(text: string, fileName: string): Settings {
+  const parsed = parseToml(text, fileName);
+  const result = settingsSchema.safeParse(parsed);
+  if (result.success) return result.data;
+  const problems = result.error.issues.map(issue => {
+    const path = issue.path.join('.') || '(top level)';
+    const remedy = REMEDIES[issue.code] ?? 'correct the value';
+    return `${fileName}: ${path}: ${issue.message}; ${remedy}`;
+  });
+  throw new runtime.ConfigurationError(problems.join('\n'));
+}
+
+function parseToml(text: string, fileName: string): unknown {
+  try {
+    return toml.parse(text);
+  } catch (error) {
+    const line = error instanceof toml.TomlError ? `:${error.line}` : '';
+    throw new runtime.ConfigurationError(
+      `${fileName}${line}: not valid TOML; correct the syntax`,
+      {cause: error},
+    );
+  }
+}
--- a/packages/protocol/src/context.ts
+++ b/packages/protocol/src/context.ts
@@ -35,6 +35,11 @@
 export interface SheddingThreshold {
   readonly importance: ImportanceClass;
   readonly rank: number;
+  /**
+   * Ranks of organisations that differ from the rest, by name ("" for calls
+   * of no organisation), so that an organisation over its share is shed first.
+   */
+  readonly organisations?: Readonly<Record<string, number>>;
 }
 
 /** Reports whether a call with this class and rank passes the threshold. */
--- a/packages/protocol/src/frame-shapes.ts
+++ b/packages/protocol/src/frame-shapes.ts
@@ -1,6 +1,9 @@
 import * as outcomes from './outcomes.js';
 import * as shape from './shape.js';
 
+/** A threshold names at most 32 organisations; twice that for later versions. */
+const MAXIMUM_RANK_ENTRIES = 64;
+
 const isHeaderList = shape.listOf(
   value =>
     Array.isArray(value) &&
@@ -12,10 +15,18 @@
 const isRank: shape.Check = value => shape.isAmount(value) && Number(value) < 1;
 const isStatus: shape.Check = value =>
   shape.isCount(value) && Number(value) >= 200 && Number(value) <= 999;
+/** Absent, or a bounded table of ranks by organisation. */
+const isRankTable: shape.Check = value =>
+  value === undefined ||
+  (typeof value === 'object' &&
+    value !== null &&
+    Object.keys(value).length <= MAXIMUM_RANK_ENTRIES &&
+    Object.values(value).every(shape.isAmount));
 const isThreshold = shape.nullable(
   shape.fieldsOf([
     ['importance', isImportance],
     ['rank', shape.isAmount],
+    ['organisations', isRankTable],
   ]),
 );
 const isContext = shape.fieldsOf([
--- a/packages/stand-ins/src/load-generator.ts
+++ b/packages/stand-ins/src/load-generator.ts
@@ -39,6 +39,8 @@
   /** Path to request from the daemon. */
   readonly requestPath?: (request: LoadRequest) => string;
   readonly clock?: runtime.Clock;
+  /** Sees each exchange as it ends, for example for a time series. */
+  readonly onSample?: (sample: loadResults.LoadSample) => void;
 }
 
 interface Arrival {
@@ -125,7 +127,7 @@
       const attempts = 1 + (this.options.clientRetries ?? 0);
       for (let attempt = 1; attempt <= attempts; attempt++) {
         const outcome = await this.exchange(arrival);
-        this.results.record({
+        const sample: loadResults.LoadSample = {
           organisation: arrival.organisation.name,
           importance: arrival.request.importance,
           service: arrival.request.service,
@@ -133,8 +135,11 @@
           // Measured from the due time, so that a stalled generator does not
           // hide latency (coordinated omission).
           latencyMs: this.clock.monotonicMs() - dueMs,
+          idempotencyKey: arrival.idempotencyKey,
           first: attempt === 1,
-        });
+        };
+        this.results.record(sample);
+        this.options.onSample?.(sample);
         if (outcome.kind === 'completed') return;
       }
     } finally {
--- a/packages/stand-ins/src/load-results.ts
+++ b/packages/stand-ins/src/load-results.ts
@@ -20,6 +20,8 @@
   readonly service: string;
   readonly outcome: LoadOutcome;
   readonly latencyMs: number;
+  /** Null for idempotent requests. */
+  readonly idempotencyKey: string | null;
   /** False for repeats by the client. */
   readonly first: boolean;
 }
--- a/packages/stand-ins/src/test/stand-ins_test.ts
+++ b/packages/stand-ins/src/test/stand-ins_test.ts
@@ -167,6 +167,7 @@
       service: 'billing',
       outcome: {kind: 'unknown', reason: 'answerLost'},
       latencyMs: 4,
+      idempotencyKey: null,
       first,
     });
   }
