--- a/packages/daemon/src/call-router.ts
+++ b/packages/daemon/src/call-router.ts
@@ -1,3 +1,5 @@
+import type * as admission from '@camphorwharf/admission';
+import type * as coordination from '@camphorwharf/coordination';
 import type * as declaration from '@camphorwharf/declaration';
 import type * as protocol from '@camphorwharf/protocol';
 import * as protocolValues from '@camphorwharf/protocol';
@@ -20,7 +22,8 @@
   readonly clock: runtime.Clock;
   readonly metrics: runtime.Metrics;
   readonly peers: transport.PeerDirectory;
-  readonly targets: outgoing.TargetChoice;
+  readonly targets: outgoing.TargetChooser;
+  readonly thresholds: admission.ThresholdTable;
 }
 
 type AttemptResult =
@@ -48,14 +51,22 @@
     const excluded = new Set<string>();
     request.retryRatio.noteFirstAttempt(clock.monotonicMs());
     let doubt: callResult.CallResult | null = null;
+    let last: callResult.CallResult | null = null;
     for (let attempt = 1; ; attempt++) {
-      const outcome = await this.attempt(request, attempt, excluded);
+      const host = this.chooseHost(request, excluded);
+      // Without a further target, the failure of the last one is the answer.
+      if (typeof host === 'string') {
+        if (last) request.budget.giveBack(1);
+        return last ?? refusedFinally(host);
+      }
+      const outcome = await this.attempt(request, attempt, host);
       if (outcome.kind === 'mayHaveRun') doubt = outcome.result;
+      // A refusal of the last attempt says nothing of an earlier one that
+      // may have run, so "not run" would be false.
+      const refused = outcome.result.kind === 'refused';
+      last = refused && doubt ? doubt : outcome.result;
       if (outcome.kind === 'final' || !this.mayRetry(request, outcome)) {
-        // A refusal of the last attempt says nothing of an earlier one that
-        // may have run, so "not run" would be false.
-        const refused = outcome.result.kind === 'refused';
-        return refused && doubt ? doubt : outcome.result;
+        return last;
       }
       this.options.metrics.count(
         'retries_total',
@@ -65,6 +76,22 @@
     }
   }
 
+  /** Returns the reason when there is no target. */
+  private chooseHost(
+    request: outgoing.OutgoingRequest,
+    excluded: Set<string>,
+  ): declaration.HostEntry | protocol.RefusalReasonName {
+    const choice = this.options.targets.choose(
+      request.service,
+      request.context,
+      this.options.clock.monotonicMs(),
+      excluded,
+    );
+    if (choice.kind === 'none') return choice.reason;
+    excluded.add(choice.host.hostId);
+    return choice.host;
+  }
+
   private mayRetry(
     request: outgoing.OutgoingRequest,
     outcome: Exclude<AttemptResult, {kind: 'final'}>,
@@ -95,29 +122,17 @@
   private async attempt(
     request: outgoing.OutgoingRequest,
     attempt: number,
-    excluded: Set<string>,
+    host: declaration.HostEntry,
   ): Promise<AttemptResult> {
     const {clock, targets, peers} = this.options;
-    const startMs = clock.monotonicMs();
-    const choice = targets.choose(
-      request.service,
-      request.context,
-      startMs,
-      excluded,
-    );
-    if (choice.kind === 'none') {
-      return final({kind: 'refused', reason: choice.reason, final: true});
-    }
-    const {host} = choice;
-    excluded.add(host.hostId);
+    targets.noteStart(host.hostId, clock.monotonicMs());
     let link: transport.PeerLink;
     try {
       link = await peers.connect(host.address, host.peerPort);
     } catch {
-      targets.noteEnded(host.hostId, 'failed', 0, clock.monotonicMs());
+      targets.noteEnd(host.hostId, 'failed', 0, clock.monotonicMs());
       return notRun('targetUnavailable');
     }
-    targets.noteSent(host.hostId, startMs);
     return this.exchange(request, attempt, host, link);
   }
 
@@ -131,8 +146,8 @@
     const sentMs = clock.monotonicMs();
     const remainingMs = request.deadlineMs - sentMs;
     if (remainingMs <= 0) {
-      this.options.targets.noteEnded(host.hostId, 'refused', 0, sentMs);
-      return final({kind: 'refused', reason: 'deadlineExpired', final: true});
+      this.options.targets.noteEnd(host.hostId, 'cancelled', 0, sentMs);
+      return final(refusedFinally('deadlineExpired'));
     }
     const share = request.budget.takeShare();
     const limit = new deadlineSignal.DeadlineSignal(
@@ -169,17 +184,17 @@
     limit: deadlineSignal.DeadlineSignal,
     result: transport.PeerResult,
   ): Promise<AttemptResult> {
-    const {clock, targets} = this.options;
+    const {clock, targets, thresholds} = this.options;
     const settle = (
-      verdict: 'succeeded' | 'refused' | 'failed',
+      verdict: coordination.TargetResult,
       trailer: transport.AnswerTrailer | null,
     ) => {
       const nowMs = clock.monotonicMs();
       limit.release();
-      targets.noteEnded(host.hostId, verdict, nowMs - sentMs, nowMs);
+      targets.noteEnd(host.hostId, verdict, nowMs - sentMs, nowMs);
       if (!trailer) return;
       request.budget.giveBack(trailer.unspentRetries);
-      targets.learnThreshold(host.hostId, trailer.threshold, nowMs);
+      thresholds.learn(host.hostId, trailer.threshold, nowMs);
     };
     switch (result.kind) {
       case 'answer': {
@@ -204,7 +219,7 @@
         });
       }
       case 'refused':
-        settle('refused', result);
+        settle(result.reason === 'overloaded' ? 'overloaded' : 'cancelled', result);
         if (result.final || !isRetryable(result.reason)) {
           return final({
             kind: 'refused',
@@ -218,7 +233,7 @@
         return mayHaveRun(result.reason);
       case 'lost': {
         const expired = limit.expired;
-        settle('failed', null);
+        settle(request.signal.aborted ? 'cancelled' : 'failed', null);
         if (!result.sent) return notRun('targetUnavailable');
         if (request.context.idempotent) {
           return mayHaveRun(expired ? 'deadlineDuringRun' : 'answerLost');
@@ -281,6 +296,12 @@
   return {kind: 'final', result};
 }
 
+function refusedFinally(
+  reason: protocol.RefusalReasonName,
+): callResult.CallResult {
+  return {kind: 'refused', reason, final: true};
+}
+
 function notRun(reason: protocol.RefusalReasonName): AttemptResult {
   return {kind: 'notRun', result: {kind: 'refused', reason, final: false}};
 }
--- a/packages/daemon/src/outgoing-request.ts
+++ b/packages/daemon/src/outgoing-request.ts
@@ -1,5 +1,5 @@
 import type * as admission from '@camphorwharf/admission';
-import type * as declaration from '@camphorwharf/declaration';
+import type * as coordination from '@camphorwharf/coordination';
 import type * as protocol from '@camphorwharf/protocol';
 import type * as replayableBody from './replayable-body.js';
 
@@ -20,28 +20,18 @@
 }
 
 /** Chooses targets and learns from what became of the calls sent to them. */
-export interface TargetChoice {
+export interface TargetChooser {
   choose(
     service: string,
-    call: Pick<protocol.CallContext, 'importance' | 'rank'>,
+    call: Pick<protocol.CallContext, 'importance' | 'rank' | 'organisation'>,
     nowMs: number,
     excluded: ReadonlySet<string>,
-  ):
-    | {readonly kind: 'target'; readonly host: declaration.HostEntry}
-    | {
-        readonly kind: 'none';
-        readonly reason: protocol.RefusalReasonName;
-      };
-  noteSent(hostId: string, nowMs: number): void;
-  noteEnded(
+  ): coordination.TargetChoice;
+  noteStart(hostId: string, nowMs: number): void;
+  noteEnd(
     hostId: string,
-    result: 'succeeded' | 'refused' | 'failed',
+    result: coordination.TargetResult,
     latencyMs: number,
     nowMs: number,
   ): void;
-  learnThreshold(
-    hostId: string,
-    threshold: protocol.SheddingThreshold | null,
-    nowMs: number,
-  ): void;
 }
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -11,5 +11,10 @@
 export {createLogger, LogLevel, silentLogger} from './logger.js';
 export type {LogFields, Logger, LogLevelName} from './logger.js';
 export {Metrics} from './metrics.js';
-export {randomIdentifier, randomInteger, SeededRandom} from './random.js';
+export {
+  randomIdentifier,
+  randomInteger,
+  SeededRandom,
+  SystemRandom,
+} from './random.js';
 export type {RandomSource} from './random.js';
--- a/packages/runtime/src/random.ts
+++ b/packages/runtime/src/random.ts
@@ -1,3 +1,4 @@
+import * as crypto from 'node:crypto';
 import * as pureRandom from 'pure-rand/generator/xoroshiro128plus';
 
 /** Source of random numbers, injected so that runs repeat from a seed. */
@@ -32,3 +33,13 @@
   }
   return text;
 }
+
+/**
+ * Random numbers that cannot be predicted, from the operating system. Handles
+ * need this: a caller that guessed one could act for another organisation.
+ */
+export class SystemRandom implements RandomSource {
+  next(): number {
+    return crypto.randomInt(0x1_0000_0000) / 0x1_0000_0000;
+  }
+}
