Add the commands check, explain, diff, compile, status and drain

Operators had no way to check a declaration before publishing it, to publish a revision safely, or to see whether daemons agree on it.

--- /dev/null
+++ b/packages/command-line/src/commands/index.ts
@@ -0,0 +1,18 @@
+import type * as clipanion from 'clipanion';
+
+import * as check from './check.js';
+import * as compile from './compile.js';
+import * as diff from './diff.js';
+import * as drain from './drain.js';
+import * as explain from './explain.js';
+import * as status from './status.js';
+
+/** Every command of the binary; a new command is added here. */
+export const COMMANDS: readonly clipanion.CommandClass[] = [
+  check.CheckCommand,
+  explain.ExplainCommand,
+  diff.DiffCommand,
+  compile.CompileCommand,
+  status.StatusCommand,
+  drain.DrainCommand,
+];
--- /dev/null
+++ b/packages/command-line/src/commands/status.ts
@@ -0,0 +1,121 @@
+import * as clipanion from 'clipanion';
+
+import * as daemonClient from '../daemon-client.js';
+import type * as daemonStatus from '../daemon-status.js';
+import * as exitCodes from '../exit-code.js';
+import * as operatorCommand from '../operator-command.js';
+import * as output from '../output.js';
+
+/** A daemon in good health answers in milliseconds. */
+const TIMEOUT_MS = 3_000;
+
+/** Digits of a digest that the table shows. */
+const SHOWN_DIGEST_LENGTH = 12;
+
+export class StatusCommand extends operatorCommand.OperatorCommand {
+  static override paths = [['status']];
+  static override usage = clipanion.Command.Usage({
+    description: 'Show the state of daemons and whether they agree.',
+    details: `
+      Asks the operator endpoint of each daemon. Daemons agree when the same
+      revision with the same digest is in force on all that answer. A
+      disagreement gives exit code 3 even when other daemons are unreachable.
+
+      ${exitCodes.EXIT_CODE_HELP}
+    `,
+    examples: [
+      ['Compare two daemons', '$0 status 10.0.0.5:7400 10.0.0.6:7400'],
+    ],
+  });
+
+  addresses = clipanion.Option.Rest({name: 'HOST:PORT', required: 1});
+
+  protected override async perform(): Promise<exitCodes.ExitCodeValue> {
+    const addresses = this.addresses.map(daemonClient.checkAddress);
+    const answers = await Promise.all(
+      addresses.map(address => daemonClient.fetchStatus(address, TIMEOUT_MS)),
+    );
+    const daemons = answers.map((answer, index) => ({
+      address: addresses[index] ?? '',
+      ...answer,
+    }));
+    const statuses = answers.flatMap(answer =>
+      answer.ok ? [answer.status] : [],
+    );
+    const versions = new Set(
+      statuses.map(({revision, digest}) => `${revision} ${digest}`),
+    );
+    const agree = versions.size <= 1;
+    const allAnswered = statuses.length === answers.length;
+    this.print(
+      {ok: agree && allAnswered, agree, daemons},
+      formatStatuses(statuses, daemons),
+    );
+    for (const daemon of daemons) {
+      if (daemon.ok) continue;
+      this.context.stderr.write(
+        `${daemon.address}: ${output.printable(daemon.message)}. Check the address and whether the daemon runs.\n`,
+      );
+    }
+    if (!agree) {
+      this.context.stderr.write(
+        'The daemons disagree on the document in force. Wait 6 s and ask again; then compare the published revision with the table.\n',
+      );
+      return exitCodes.ExitCode.disagreement;
+    }
+    return allAnswered ? exitCodes.ExitCode.ok : exitCodes.ExitCode.unreachable;
+  }
+}
+
+function formatStatuses(
+  statuses: readonly daemonStatus.DaemonStatus[],
+  daemons: ReadonlyArray<
+    {readonly address: string} & daemonClient.StatusAnswer
+  >,
+): string {
+  if (statuses.length === 0) return '';
+  const rows = daemons.flatMap(daemon =>
+    daemon.ok ? [[daemon.address, ...statusRow(daemon.status)]] : [],
+  );
+  return output.formatTable([
+    [
+      'address',
+      'host',
+      'service',
+      'revision',
+      'digest',
+      'cell',
+      'view',
+      'active',
+      'concurrency',
+      'queue',
+      'threshold',
+      'in flight',
+      'waiting',
+      'leaving',
+    ],
+    ...rows,
+  ]);
+}
+
+function statusRow(
+  status: daemonStatus.DaemonStatus,
+): Array<string | number | boolean | null> {
+  const {view, sheddingThreshold, limits} = status;
+  return [
+    status.hostId,
+    status.service,
+    status.revision,
+    status.digest?.slice(0, SHOWN_DIGEST_LENGTH) ?? null,
+    status.cell,
+    view && `${view.number}/${view.proposer}`,
+    view?.active ?? null,
+    limits.concurrency,
+    limits.queue,
+    sheddingThreshold &&
+      `${sheddingThreshold.importance}/${sheddingThreshold.rank?.toFixed(3)}`,
+    status.inFlight,
+    status.waiting,
+    status.leaving,
+  ];
+}
