--- a/packages/declaration/src/cross-checks.ts
+++ b/packages/declaration/src/cross-checks.ts
@@ -2,22 +2,30 @@
 import * as policyChecks from './policy-checks.js';
 import type * as sectionTypes from './sections.js';
 import * as selectors from './selector.js';
+import type * as steps from './steps.js';
 
 /** Rounding allowance for the sum of the region weights. */
 const WEIGHT_SUM_TOLERANCE = 1e-9;
 
+const CHECKS = [
+  checkDuplicateNames,
+  checkRegions,
+  checkRoutes,
+  checkOrganisations,
+  checkLabels,
+  policyChecks.checkPolicies,
+];
+
 /** Checks what no single item shows: references, uniqueness and sums. */
-export function crossCheck(
+export function* crossCheck(
   sections: sectionTypes.Sections,
-): problems.Finding[] {
-  return [
-    ...checkDuplicateNames(sections),
-    ...checkRegions(sections),
-    ...checkRoutes(sections),
-    ...checkOrganisations(sections),
-    ...checkLabels(sections),
-    ...policyChecks.checkPolicies(sections),
-  ];
+): steps.Steps<problems.Finding[]> {
+  const findings: problems.Finding[] = [];
+  for (const check of CHECKS) {
+    yield;
+    for (const finding of check(sections)) findings.push(finding);
+  }
+  return findings;
 }
 
 function checkDuplicateNames(
--- a/packages/declaration/src/index.ts
+++ b/packages/declaration/src/index.ts
@@ -32,6 +32,7 @@
   documentDigest,
   MAXIMUM_DOCUMENT_BYTES,
   parsePublishedDocument,
+  parsePublishedDocumentInSteps,
   serializeDocument,
 } from './published-document.js';
 export type {ParsedDocument} from './published-document.js';
--- a/packages/declaration/src/parse-declaration.ts
+++ b/packages/declaration/src/parse-declaration.ts
@@ -4,6 +4,7 @@
 import * as problems from './problem.js';
 import * as documents from './published-document.js';
 import * as sections from './sections.js';
+import * as steps from './steps.js';
 import * as tomlLines from './toml-lines.js';
 import * as tomlSelectors from './toml-selector.js';
 
@@ -77,9 +78,13 @@
     });
   }
   const root = {routes: [], organisations: [], policies: [], ...raw};
-  const read = sections.readSections(root, prepareItem, findings);
+  const read = steps.runAtOnce(
+    sections.readSections(root, prepareItem, findings),
+  );
   if (findings.length < sections.MAXIMUM_FINDINGS) {
-    for (const finding of checks.crossCheck(read)) findings.push(finding);
+    for (const finding of steps.runAtOnce(checks.crossCheck(read))) {
+      findings.push(finding);
+    }
   }
   if (findings.length === 0) {
     return {ok: true, declaration: sections.toDeclaration(read)};
--- a/packages/declaration/src/published-document.ts
+++ b/packages/declaration/src/published-document.ts
@@ -6,6 +6,7 @@
 import * as problems from './problem.js';
 import * as schema from './schema.js';
 import * as sections from './sections.js';
+import * as steps from './steps.js';
 
 /** Largest serialized document: the platform holds values up to 1 MB. */
 export const MAXIMUM_DOCUMENT_BYTES = 1_000_000;
@@ -19,6 +20,16 @@
  */
 const MAXIMUM_JSON_DEPTH = 40;
 
+/** Characters that are scanned in one step, well under a millisecond. */
+const CHARACTERS_PER_STEP = 65_536;
+
+const QUOTE = 0x22;
+const OPEN_BRACKET = 0x5b;
+const BACKSLASH = 0x5c;
+const CLOSE_BRACKET = 0x5d;
+const OPEN_BRACE = 0x7b;
+const CLOSE_BRACE = 0x7d;
+
 const DOCUMENT_FIELDS = [
   'formatVersion',
   'revision',
@@ -94,6 +105,28 @@
   jsonText: string,
   fileName = 'document',
 ): ParsedDocument {
+  return steps.runAtOnce(parseInSteps(jsonText, fileName));
+}
+
+/**
+ * Does the same in short steps. Parsing a document of several hundred
+ * kilobytes at once takes tens of milliseconds, during which a daemon would
+ * serve no call.
+ *
+ * @param pause Called between steps; lets other work run before it resolves.
+ */
+export async function parsePublishedDocumentInSteps(
+  jsonText: string,
+  pause: () => Promise<void>,
+  fileName = 'document',
+): Promise<ParsedDocument> {
+  return await steps.runWithPauses(parseInSteps(jsonText, fileName), pause);
+}
+
+function* parseInSteps(
+  jsonText: string,
+  fileName: string,
+): steps.Steps<ParsedDocument> {
   const reject = (findings: readonly problems.Finding[]): ParsedDocument => {
     const listed = findings
       .slice(0, MAXIMUM_PROBLEMS)
@@ -123,12 +156,13 @@
       'Remove unused items or shorten labels',
     );
   }
-  if (jsonDepth(jsonText) > MAXIMUM_JSON_DEPTH) {
+  if ((yield* jsonDepth(jsonText)) > MAXIMUM_JSON_DEPTH) {
     return rejectWhole(
       `is nested deeper than ${MAXIMUM_JSON_DEPTH} levels`,
       'Publish the output of camphorwharf compile',
     );
   }
+  yield;
   let raw: unknown;
   try {
     raw = JSON.parse(jsonText);
@@ -171,9 +205,16 @@
       remedy: `Remove it; the fields are ${DOCUMENT_FIELDS.join(', ')}`,
     });
   }
-  const read = sections.readSections(root, (_section, item) => item, findings);
+  yield;
+  const read = yield* sections.readSections(
+    root,
+    (_section, item) => item,
+    findings,
+  );
   if (findings.length < sections.MAXIMUM_FINDINGS) {
-    for (const finding of checks.crossCheck(read)) findings.push(finding);
+    for (const finding of yield* checks.crossCheck(read)) {
+      findings.push(finding);
+    }
   }
   if (findings.length > 0) return reject(findings);
   return {
@@ -187,20 +228,21 @@
 }
 
 /** Deepest nesting of objects and arrays, found without recursion. */
-function jsonDepth(jsonText: string): number {
+function* jsonDepth(jsonText: string): steps.Steps<number> {
   let depth = 0;
   let deepest = 0;
   let inString = false;
   for (let index = 0; index < jsonText.length; index++) {
-    const character = jsonText[index];
+    if (index % CHARACTERS_PER_STEP === CHARACTERS_PER_STEP - 1) yield;
+    const code = jsonText.charCodeAt(index);
     if (inString) {
-      if (character === '\\') index++;
-      else if (character === '"') inString = false;
-    } else if (character === '"') {
+      if (code === BACKSLASH) index++;
+      else if (code === QUOTE) inString = false;
+    } else if (code === QUOTE) {
       inString = true;
-    } else if (character === '{' || character === '[') {
+    } else if (code === OPEN_BRACE || code === OPEN_BRACKET) {
       deepest = Math.max(deepest, ++depth);
-    } else if (character === '}' || character === ']') {
+    } else if (code === CLOSE_BRACE || code === CLOSE_BRACKET) {
       depth--;
     }
   }
--- a/packages/declaration/src/sections.ts
+++ b/packages/declaration/src/sections.ts
@@ -3,6 +3,7 @@
 import type * as documents from './document.js';
 import type * as problems from './problem.js';
 import * as schema from './schema.js';
+import type * as steps from './steps.js';
 
 /** A declaration: the published document without its revision. */
 export type Declaration = Omit<
@@ -47,6 +48,9 @@
 /** Reading stops after so many findings, so that hostile input costs little. */
 export const MAXIMUM_FINDINGS = 10_000;
 
+/** Items that are read in one step, which takes well under a millisecond. */
+const ITEMS_PER_STEP = 32;
+
 /** Prepares a raw item before its schema is applied; null rejects it. */
 export type PrepareItem = (
   section: SectionName,
@@ -77,30 +81,27 @@
  * Checks each item of each section by itself, so that one invalid item does
  * not hide the problems of the others. Findings are appended.
  */
-export function readSections(
+export function* readSections(
   raw: Readonly<Record<string, unknown>>,
   prepare: PrepareItem,
   findings: problems.Finding[],
-): Sections {
-  const read = <Name extends SectionName>(
-    name: Name,
-  ): Section<Declaration[Name][number]> =>
-    readSection(name, raw[name], prepare, findings);
+): steps.Steps<Sections> {
   return {
-    regions: read('regions'),
-    services: read('services'),
-    routes: read('routes'),
-    organisations: read('organisations'),
-    policies: read('policies'),
+    regions: yield* readSection('regions', raw, prepare, findings),
+    services: yield* readSection('services', raw, prepare, findings),
+    routes: yield* readSection('routes', raw, prepare, findings),
+    organisations: yield* readSection('organisations', raw, prepare, findings),
+    policies: yield* readSection('policies', raw, prepare, findings),
   };
 }
 
-function readSection<Name extends SectionName>(
+function* readSection<Name extends SectionName>(
   section: Name,
-  rawItems: unknown,
+  raw: Readonly<Record<string, unknown>>,
   prepare: PrepareItem,
   findings: problems.Finding[],
-): Section<Declaration[Name][number]> {
+): steps.Steps<Section<Declaration[Name][number]>> {
+  const rawItems = raw[section];
   const names = new Set<string>();
   if (!Array.isArray(rawItems)) {
     findings.push({
@@ -112,34 +113,45 @@
     return {entries: [], names, complete: false};
   }
   const entries: Entry<Declaration[Name][number]>[] = [];
-  rawItems.forEach((rawItem: unknown, index) => {
-    if (findings.length >= MAXIMUM_FINDINGS) return;
-    const path = [section, index];
-    if (hasTooManyValues(rawItem)) {
-      findings.push({
-        path,
-        value: rawItem,
-        message: `has more than ${MAXIMUM_ITEM_VALUES} values`,
-        remedy: 'Split the item or shorten its lists',
-      });
-      return;
-    }
+  for (const [index, rawItem] of (rawItems as unknown[]).entries()) {
+    if (findings.length >= MAXIMUM_FINDINGS) break;
+    if (index % ITEMS_PER_STEP === ITEMS_PER_STEP - 1) yield;
     const itemName = schema.valueAt(rawItem, ['name']);
     if (typeof itemName === 'string') names.add(itemName);
-    const before = findings.length;
-    const item = prepare(section, rawItem, path, findings);
-    const parsed = ITEM_SCHEMAS[section].safeParse(item);
-    if (parsed.success) {
-      if (findings.length === before) entries.push({index, item: parsed.data});
-      return;
-    }
-    for (const issue of parsed.error.issues) {
-      findings.push(...findingsOfIssue(section, issue, item, path));
-    }
-  });
+    const item = readItem(section, rawItem, index, prepare, findings);
+    if (item !== null) entries.push({index, item});
+  }
   return {entries, names, complete: entries.length === rawItems.length};
 }
 
+/** Returns the item, or null when it adds findings. */
+function readItem<Name extends SectionName>(
+  section: Name,
+  rawItem: unknown,
+  index: number,
+  prepare: PrepareItem,
+  findings: problems.Finding[],
+): Declaration[Name][number] | null {
+  const path = [section, index];
+  if (hasTooManyValues(rawItem)) {
+    findings.push({
+      path,
+      value: rawItem,
+      message: `has more than ${MAXIMUM_ITEM_VALUES} values`,
+      remedy: 'Split the item or shorten its lists',
+    });
+    return null;
+  }
+  const before = findings.length;
+  const item = prepare(section, rawItem, path, findings);
+  const parsed = ITEM_SCHEMAS[section].safeParse(item);
+  if (parsed.success) return findings.length === before ? parsed.data : null;
+  for (const issue of parsed.error.issues) {
+    findings.push(...findingsOfIssue(section, issue, item, path));
+  }
+  return null;
+}
+
 /** Counts nested values without recursion. */
 function hasTooManyValues(item: unknown): boolean {
   const pending: unknown[] = [item];
--- a/packages/declaration/src/test/published-document_test.ts
+++ b/packages/declaration/src/test/published-document_test.ts
@@ -191,6 +191,26 @@
   t.true(accepted > 0, 'no damage left a valid document');
 });
 
+test('parsing in steps pauses and gives the result of parsing at once', async t => {
+  const services = Array.from({length: 2_000}, (_, index) => ({
+    name: `service-${index}`,
+    labels: {},
+  }));
+  const texts = [
+    withField({services: [...valid.services, ...services]}),
+    withField({services: [...valid.services, ...services, {}]}),
+  ];
+  for (const text of texts) {
+    let pauses = 0;
+    const parsed = await declaration.parsePublishedDocumentInSteps(
+      text,
+      () => (pauses++, Promise.resolve()),
+    );
+    t.deepEqual(parsed, declaration.parsePublishedDocument(text));
+    t.true(pauses > 2_000 / 32, `only ${pauses} pauses`);
+  }
+});
+
 const refusedRevisions = [0, -1, 1.5, Number.NaN, 2 ** 53];
 for (const revision of refusedRevisions) {
   test(`compile refuses revision ${revision}`, t => {
