--- a/packages/admission/src/concurrency-limit.ts
+++ b/packages/admission/src/concurrency-limit.ts
@@ -6,14 +6,17 @@
 /** Keeps a few calls in flight, so that an improvement is always noticed. */
 const MINIMUM_LIMIT = 2;
 
-/** Service time over the baseline up to which calls do not queue behind slots. */
-const FREE_RATIO = 1.1;
+/**
+ * Service time over the baseline up to which the limit grows. The mean of a
+ * window varies by about a sixth, so a narrower range would follow noise.
+ */
+const FREE_RATIO = 1.25;
 
 /** Service time over the baseline above which the limit falls. */
-const TOLERATED_RATIO = 1.25;
+const TOLERATED_RATIO = 1.6;
 
 /** A rise this large may be a slower service as well as a queue: measure. */
-const SUSPECT_RATIO = 1.6;
+const SUSPECT_RATIO = 2.2;
 
 const RAMP_GROWTH = 1.5;
 const GROWTH = 1.1;
@@ -140,11 +143,9 @@
       }
     }
     if (ratio <= FREE_RATIO) {
+      if (nowMs < this.reportedFullUntilMs && !this.ramping) return;
       this.grow(this.ramping ? RAMP_GROWTH : GROWTH);
-    } else if (ratio <= TOLERATED_RATIO) {
-      this.ramping = false;
-      if (nowMs >= this.reportedFullUntilMs) this.grow(1);
-    } else {
+    } else if (ratio > TOLERATED_RATIO) {
       this.ramping = false;
       this.learned *= Math.max(LARGEST_FALL, TOLERATED_RATIO / ratio);
     }
@@ -163,7 +164,7 @@
     this.probedMs = nowMs;
     if (seen.meanMs > probe.meanMs * PROBE_MIDPOINT) {
       // No queue at either limit: this is the service time.
-      this.baselineMs = Math.min(seen.meanMs, probe.meanMs);
+      this.baselineMs = (seen.meanMs + probe.meanMs) / 2;
     } else {
       // The lower limit gave the same throughput with less queueing.
       this.baselineMs = Math.min(this.baselineMs, seen.meanMs);
--- a/packages/admission/src/demand-estimate.ts
+++ b/packages/admission/src/demand-estimate.ts
@@ -1,17 +1,27 @@
-import * as waterFill from './water-fill.js';
+import type * as waterFill from './water-fill.js';
 
 /** Organisations remembered in one class. */
 const MAXIMUM_SHARES = 512;
 
-/** Part by which one window moves the estimate. */
-const STEP = 0.3;
+/** Part of the earlier windows that counts after one more window. */
+const KEPT_PART = 0.8;
 
-/** An organisation below this many calls per second is forgotten. */
-const NEGLIGIBLE_PER_SECOND = 0.05;
+/**
+ * Calls that the class average counts for in an organisation's estimate.
+ * Without them the few calls of a small organisation give a random cutoff,
+ * and a low cutoff leaves even fewer calls to correct it.
+ */
+const PRIOR_CALLS = 4;
+
+/** An organisation with less than this many recent calls is forgotten. */
+const NEGLIGIBLE_CALLS = 0.01;
 
 class Share {
   arrived = 0;
-  perSecond = 0;
+  /** Recent passing calls, decayed. */
+  calls = 0;
+  /** Recent seconds times the part that passed, decayed alike. */
+  exposure = 0;
   constructor(public weight: number) {}
 }
 
@@ -22,8 +32,8 @@
 
 /**
  * Demand of one class by organisation. Only calls that pass the current
- * cutoff are counted, divided by the part that passes, so that the estimate
- * is the same whether or not the senders apply the cutoff already.
+ * cutoff are counted, over the part that passes, so that the estimate is the
+ * same whether or not the senders apply the cutoff already.
  */
 export class DemandEstimate {
   private readonly shares = new Map<string, Share>();
@@ -51,18 +61,33 @@
     elapsedMs: number,
     passingPart: (name: string) => number,
   ): readonly ShareDemand[] {
-    const demands: ShareDemand[] = [];
     for (const [name, share] of this.shares) {
       const part = passingPart(name);
       if (part > 0) {
-        const seen = (share.arrived * 1_000) / elapsedMs / part;
-        share.perSecond += (seen - share.perSecond) * STEP;
+        share.calls = share.calls * KEPT_PART + share.arrived;
+        share.exposure =
+          share.exposure * KEPT_PART + (elapsedMs / 1_000) * part;
       }
       share.arrived = 0;
-      if (share.perSecond < NEGLIGIBLE_PER_SECOND) this.shares.delete(name);
-      else {
-        demands.push({name, weight: share.weight, amount: share.perSecond});
-      }
+      if (share.calls < NEGLIGIBLE_CALLS) this.shares.delete(name);
+    }
+    return this.demands();
+  }
+
+  private demands(): ShareDemand[] {
+    let calls = 0;
+    let exposure = 0;
+    for (const share of this.shares.values()) {
+      calls += share.calls;
+      exposure += share.weight * share.exposure;
+    }
+    const perWeight = calls / exposure;
+    const demands: ShareDemand[] = [];
+    for (const [name, share] of this.shares) {
+      const prior = perWeight * share.weight;
+      const amount =
+        (share.calls + PRIOR_CALLS) / (share.exposure + PRIOR_CALLS / prior);
+      demands.push({name, weight: share.weight, amount});
     }
     return demands;
   }
--- a/packages/admission/src/observation-window.ts
+++ b/packages/admission/src/observation-window.ts
@@ -1,5 +1,5 @@
 /** A window closes after this many samples and this time, whichever is last. */
-const MINIMUM_SAMPLES = 24;
+const MINIMUM_SAMPLES = 32;
 const MINIMUM_MS = 50;
 
 /** A window with few samples still closes after this time. */
--- a/packages/admission/src/shedding-control.ts
+++ b/packages/admission/src/shedding-control.ts
@@ -26,7 +26,7 @@
 const OPENING = 1.25;
 
 /** Part by which one window moves the throughput estimate. */
-const STEP = 0.3;
+const STEP = 0.2;
 
 /** The least part that stays open of the class at the threshold. */
 const MINIMUM_PART = 0.01;
