Learn the concurrency limit from the quickest tenth of the calls

The mean of a few dozen calls varies by a sixth, so limits stayed low or fell by noise. A queue behind the slots delays the quickest calls as well, and these vary far less. The limit also grows faster while nothing speaks against it, and the threshold leaves room while it grows.

--- a/packages/admission/src/concurrency-limit.ts
+++ b/packages/admission/src/concurrency-limit.ts
@@ -6,48 +6,55 @@
 /** Keeps a few calls in flight, so that an improvement is always noticed. */
 const MINIMUM_LIMIT = 2;
 
-/**
- * Service time over the baseline up to which the limit grows. The mean of a
- * window varies by about a sixth, so a narrower range would follow noise.
- */
-const FREE_RATIO = 1.25;
+/** Part of the service time spent behind the slots up to which it grows. */
+const FREE_WAIT = 0.12;
 
-/** Service time over the baseline above which the limit falls. */
-const TOLERATED_RATIO = 1.6;
+/** Part above which the limit falls, and the part that it then aims at. */
+const TOLERATED_WAIT = 0.3;
+const WANTED_WAIT = 0.17;
 
 /** A rise this large may be a slower service as well as a queue: measure. */
-const SUSPECT_RATIO = 2.2;
+const SUSPECT_WAIT = 0.45;
 
-const RAMP_GROWTH = 1.5;
+/** Growth of the first window and the most that a series of them reaches. */
 const GROWTH = 1.1;
+const LARGEST_GROWTH = 1.5;
+
+/** Samples of one window; fewer while the limit ramps up. */
+const SAMPLES = 32;
+const RAMP_SAMPLES = 8;
+
 const LARGEST_FALL = 0.7;
 const OVERLOAD_FALL = 0.9;
 
 /** Part of the limit in force while the baseline is measured again. */
-const PROBE_PART = 0.7;
+const PROBE_PART = 0.8;
 
 /** A saturated target is measured again this often. */
 const PROBE_EVERY_MS = 5_000;
 
-/**
- * With a queue behind the slots the service time falls with the limit, to
- * `PROBE_PART`; without one it stays. This is the midpoint.
- */
-const PROBE_MIDPOINT = 0.85;
+/** Parts by which one window moves the baseline. */
+const BASELINE_STEP = 0.25;
+const HEALED_STEP = 0.7;
+const FREE_STEP = 0.1;
+
+/** A fall of the quick service time to this part is more than noise. */
+const HEALED_PART = 0.6;
 
 /** A load report counts this long. */
 const REPORT_LIFETIME_MS = 500;
 
+/** What was in force and seen before the limit was lowered for a probe. */
 interface Probe {
   readonly limit: number;
-  readonly meanMs: number;
+  readonly seen: observation.Observation;
 }
 
 /**
  * Concurrency limit learned from service times and overload failures. The
- * baseline is the mean service time without a queue behind the slots of the
- * backend server; it is measured at low load, and by probing with a lower
- * limit when the target is saturated.
+ * baseline is the service time of the quickest calls without a queue behind
+ * the slots of the backend server; it is measured while the limit is not
+ * reached, and by probing with a lower limit when the target is saturated.
  */
 export class ConcurrencyLimit {
   private learned = INITIAL_LIMIT;
@@ -59,7 +66,9 @@
   private probedMs = Number.NEGATIVE_INFINITY;
   private overloadedUntilMs = Number.NEGATIVE_INFINITY;
   private reportedFullUntilMs = Number.NEGATIVE_INFINITY;
-  private window = new observation.ObservationWindow(0);
+  private window = new observation.ObservationWindow(0, RAMP_SAMPLES);
+  /** Growth of the last window; 1 when it did not grow. */
+  private growth = 1;
 
   constructor(maximum: number) {
     this.maximum = Math.max(1, maximum);
@@ -77,6 +86,11 @@
     return this.baselineMs;
   }
 
+  /** Whether the limit rises, so that more calls will soon be started. */
+  get isGrowing(): boolean {
+    return this.growth > 1;
+  }
+
   setMaximum(maximum: number): void {
     this.maximum = Math.max(1, Math.floor(maximum));
   }
@@ -86,7 +100,9 @@
     this.ramping = true;
     this.baselineMs = 0;
     this.probe = null;
-    this.window = new observation.ObservationWindow(nowMs);
+    this.growth = 1;
+    this.meanMs = 0;
+    this.restart(nowMs);
   }
 
   noteStart(inFlight: number): void {
@@ -103,6 +119,7 @@
     // Later refusals within one service time have the same cause.
     this.overloadedUntilMs = nowMs + Math.max(20, this.meanMs);
     this.ramping = false;
+    this.growth = 1;
     this.probe = null;
     this.learned = Math.min(this.learned, inFlight + 1) * OVERLOAD_FALL;
     this.restart(nowMs);
@@ -118,8 +135,10 @@
   advance(nowMs: number): void {
     const seen = this.window.close(nowMs);
     if (!seen) return;
+    const lastGrowth = this.growth;
+    this.growth = 1;
     if (this.probe) this.endProbe(this.probe, seen, nowMs);
-    else if (seen.saturated) this.adjust(seen, nowMs);
+    else if (seen.saturated) this.adjust(seen, lastGrowth, nowMs);
     else this.measureUnsaturated(seen);
     this.meanMs = seen.meanMs;
     this.learned = Math.min(
@@ -129,30 +148,39 @@
     this.restart(nowMs);
   }
 
-  private adjust(seen: observation.Observation, nowMs: number): void {
-    if (this.baselineMs === 0) this.baselineMs = seen.meanMs;
-    this.lowerBaseline(seen.meanMs);
-    const ratio = seen.meanMs / this.baselineMs;
-    const suspect = ratio > SUSPECT_RATIO;
-    if (suspect || nowMs - this.probedMs > PROBE_EVERY_MS) {
-      if (!this.ramping || suspect) {
-        this.ramping = false;
-        this.probe = {limit: this.learned, meanMs: seen.meanMs};
-        this.probedMs = nowMs;
-        return;
-      }
-    }
-    if (ratio <= FREE_RATIO) {
-      if (nowMs < this.reportedFullUntilMs && !this.ramping) return;
-      this.grow(this.ramping ? RAMP_GROWTH : GROWTH);
-    } else if (ratio > TOLERATED_RATIO) {
+  private adjust(
+    seen: observation.Observation,
+    lastGrowth: number,
+    nowMs: number,
+  ): void {
+    if (this.baselineMs === 0) this.baselineMs = seen.quickMs;
+    if (seen.quickMs < this.baselineMs) this.lowerBaseline(seen.quickMs);
+    const wait = this.waitPart(seen);
+    const due = !this.ramping && nowMs - this.probedMs > PROBE_EVERY_MS;
+    if (due || wait > SUSPECT_WAIT) {
+      this.ramping = false;
+      this.probe = {limit: this.learned, seen};
+    } else if (wait <= FREE_WAIT) {
+      this.baselineMs += (seen.quickMs - this.baselineMs) * FREE_STEP;
+      this.grow(lastGrowth, nowMs);
+    } else if (wait > TOLERATED_WAIT) {
       this.ramping = false;
-      this.learned *= Math.max(LARGEST_FALL, TOLERATED_RATIO / ratio);
+      this.learned *= fallFor(wait);
     }
   }
 
-  private grow(factor: number): void {
-    this.learned = Math.max(this.learned + 1, this.learned * factor);
+  /** Part of the service time that calls spend behind the slots. */
+  private waitPart(seen: observation.Observation): number {
+    return (seen.quickMs - this.baselineMs) / seen.meanMs;
+  }
+
+  /** Grows faster the longer nothing speaks against it. */
+  private grow(lastGrowth: number, nowMs: number): void {
+    if (nowMs < this.reportedFullUntilMs && !this.ramping) return;
+    this.growth = this.ramping
+      ? LARGEST_GROWTH
+      : Math.min(LARGEST_GROWTH, lastGrowth * GROWTH);
+    this.learned = Math.max(this.learned + 1, this.learned * this.growth);
   }
 
   private endProbe(
@@ -162,39 +190,43 @@
   ): void {
     this.probe = null;
     this.probedMs = nowMs;
-    if (seen.meanMs > probe.meanMs * PROBE_MIDPOINT) {
-      // No queue at either limit: this is the service time.
-      this.baselineMs = (seen.meanMs + probe.meanMs) / 2;
+    const before = probe.seen;
+    // With a queue behind the slots, all calls are quicker by the part that
+    // the limit fell; without one nothing changes. This is the midpoint.
+    const fallMs = ((1 - PROBE_PART) / 2) * before.meanMs;
+    if (seen.quickMs > before.quickMs - fallMs) {
+      this.baselineMs = (seen.quickMs + before.quickMs) / 2;
     } else {
-      // The lower limit gave the same throughput with less queueing.
-      this.baselineMs = Math.min(this.baselineMs, seen.meanMs);
-      const queued = probe.meanMs / seen.meanMs;
-      this.learned = Math.max(
-        probe.limit * PROBE_PART,
-        (probe.limit / queued) * FREE_RATIO,
-      );
+      this.baselineMs = Math.min(this.baselineMs, seen.quickMs);
+      this.learned = probe.limit * fallFor(this.waitPart(before));
     }
   }
 
   private measureUnsaturated(seen: observation.Observation): void {
-    if (this.baselineMs === 0) {
-      this.baselineMs = seen.meanMs;
-    } else if (seen.peakInFlight * 2 <= this.learned) {
-      this.baselineMs += (seen.meanMs - this.baselineMs) / 4;
+    if (this.baselineMs === 0 || seen.quickMs < this.baselineMs) {
+      this.lowerBaseline(seen.quickMs);
     } else {
-      this.lowerBaseline(seen.meanMs);
+      this.baselineMs += (seen.quickMs - this.baselineMs) * BASELINE_STEP;
     }
   }
 
-  private lowerBaseline(meanMs: number): void {
-    if (meanMs >= this.baselineMs) return;
-    // A small difference is mostly noise; a large one is a healed service.
-    const step = meanMs < this.baselineMs * LARGEST_FALL ? 1 : 0.25;
-    this.baselineMs += (meanMs - this.baselineMs) * step;
+  private lowerBaseline(quickMs: number): void {
+    if (this.baselineMs === 0) this.baselineMs = quickMs;
+    const healed = quickMs < this.baselineMs * HEALED_PART;
+    const step = healed ? HEALED_STEP : BASELINE_STEP;
+    this.baselineMs += (quickMs - this.baselineMs) * step;
   }
 
   /** Skips the calls that started under the limit before. */
   private restart(nowMs: number): void {
-    this.window = new observation.ObservationWindow(nowMs + this.meanMs);
+    this.window = new observation.ObservationWindow(
+      nowMs + this.meanMs,
+      this.ramping ? RAMP_SAMPLES : SAMPLES,
+    );
   }
 }
+
+/** The factor that brings the wait down to the one wanted. */
+function fallFor(wait: number): number {
+  return Math.min(1, Math.max(LARGEST_FALL, (1 - wait) / (1 - WANTED_WAIT)));
+}
--- a/packages/admission/src/shedding-control.ts
+++ b/packages/admission/src/shedding-control.ts
@@ -13,6 +13,9 @@
  */
 const SURPLUS = 1.1;
 
+/** Surplus while the limit rises, which may add half of it at a time. */
+const GROWING_SURPLUS = 1.7;
+
 /** Consecutive windows with refusals before shedding starts. */
 const WINDOWS_TO_START = 2;
 
@@ -117,7 +120,7 @@
   }
 
   /** Returns whether a window ended, so that the threshold may differ. */
-  advance(nowMs: number): boolean {
+  advance(limitIsGrowing: boolean, nowMs: number): boolean {
     this.windowStartMs ??= nowMs;
     const elapsedMs = nowMs - this.windowStartMs;
     if (elapsedMs < WINDOW_MS) return false;
@@ -138,14 +141,14 @@
     this.overloadedWindows = overloaded ? this.overloadedWindows + 1 : 0;
     this.freeWindows = saturated || overloaded ? 0 : this.freeWindows + 1;
     if (!this.current && this.overloadedWindows < WINDOWS_TO_START) return true;
-    this.moveAdmitted();
+    this.moveAdmitted(limitIsGrowing ? GROWING_SURPLUS : SURPLUS);
     this.current =
       this.freeWindows >= WINDOWS_TO_END ? null : this.compute(demands);
     return true;
   }
 
-  private moveAdmitted(): void {
-    const measured = this.throughput * SURPLUS;
+  private moveAdmitted(surplus: number): void {
+    const measured = this.throughput * surplus;
     this.admitted =
       this.freeWindows >= WINDOWS_TO_OPEN
         ? Math.max(measured, this.admitted) * OPENING
--- a/packages/admission/src/target-admission.ts
+++ b/packages/admission/src/target-admission.ts
@@ -127,7 +127,7 @@
     );
     this.drain(events);
     this.trim(events);
-    if (this.shedding.advance(nowMs)) {
+    if (this.shedding.advance(this.limit.isGrowing, nowMs)) {
       this.queue.setExcess((importance, share) =>
         this.shedding.excessOf(importance, share),
       );
