--- a/packages/transport/src/incoming-exchange.ts
+++ b/packages/transport/src/incoming-exchange.ts
@@ -10,8 +10,8 @@
   readonly body: bodyQueue.BodyQueue | null;
   private readonly sender: bodySender.BodySender;
   private controller: AbortController | null = null;
-  private endedBy: Error | null = null;
-  private cancelled = false;
+  private state: 'open' | 'finished' | 'cancelled' = 'open';
+  private cancelError: Error | null = null;
   private answered = false;
 
   constructor(
@@ -27,7 +27,7 @@
           onConsumed: exchangePort.creditReturner(
             port,
             head.call,
-            () => !this.endedBy,
+            () => this.state === 'open',
           ),
           onAbandoned: () => undefined,
         })
@@ -38,14 +38,14 @@
   get signal(): AbortSignal {
     if (!this.controller) {
       this.controller = new AbortController();
-      if (this.cancelled) this.controller.abort(this.endedBy);
+      if (this.cancelError) this.controller.abort(this.cancelError);
     }
     return this.controller.signal;
   }
 
   /** Whether an outcome was sent or is no longer wanted. */
   get settled(): boolean {
-    return this.answered || this.endedBy !== null;
+    return this.answered || this.state !== 'open';
   }
 
   async answer(
@@ -60,9 +60,9 @@
     this.claimOutcome();
     const {call, attempt} = this.head;
     const {writer} = this.port;
-    if (this.endedBy) {
+    if (this.cancelError) {
       abandon(body);
-      throw this.endedBy;
+      throw this.cancelError;
     }
     let totalBytes: number | null;
     try {
@@ -78,7 +78,7 @@
         writer.write({kind: 'answerBody', call, chunk}),
       );
     } catch (error) {
-      if (!this.endedBy) {
+      if (this.state === 'open') {
         writer.write({
           kind: 'unknownOutcome',
           call,
@@ -89,12 +89,9 @@
       }
       throw error;
     }
-    if (totalBytes === null || this.endedBy) {
-      throw (
-        this.endedBy ??
-        new runtime.ConnectionError('The answer was stopped before its end.')
-      );
-    }
+    if (this.cancelError) throw this.cancelError;
+    // The sender stops early only when the call was cancelled.
+    if (totalBytes === null) throw new Error('The answer was stopped.');
     writer.write({kind: 'answerEnd', call, totalBytes, ...trailer()});
     this.finish();
   }
@@ -105,7 +102,7 @@
     trailer: peer.AnswerTrailer,
   ): void {
     this.claimOutcome();
-    if (this.endedBy) return;
+    if (this.state !== 'open') return;
     this.port.writer.write({
       kind: 'refusal',
       call: this.head.call,
@@ -121,7 +118,7 @@
     trailer: peer.AnswerTrailer,
   ): void {
     this.claimOutcome();
-    if (this.endedBy) return;
+    if (this.state !== 'open') return;
     this.port.writer.write({
       kind: 'unknownOutcome',
       call: this.head.call,
@@ -145,9 +142,9 @@
 
   /** Ends the call on `cancel` or the loss of the connection. */
   abort(error: Error): void {
-    if (this.endedBy) return;
-    this.endedBy = error;
-    this.cancelled = true;
+    if (this.state !== 'open') return;
+    this.state = 'cancelled';
+    this.cancelError = error;
     this.port.onFinished(this.head.call);
     this.sender.stop();
     this.body?.fail(error);
@@ -162,9 +159,17 @@
   }
 
   private finish(): void {
-    this.endedBy = new runtime.ConnectionError('The call has been answered.');
+    this.state = 'finished';
     this.port.onFinished(this.head.call);
-    this.body?.fail(this.endedBy);
+    // The error is only built when needed: errors cost more than the rest of
+    // a short call.
+    if (this.body && !this.body.ended) {
+      this.body.fail(
+        new runtime.ConnectionError(
+          'The call was answered before the end of its body.',
+        ),
+      );
+    }
   }
 }
 
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -20,3 +20,14 @@
 export type {CallerAnswer, CallerCall, CallerOutcome} from './caller-call.js';
 export {CallerServer} from './caller-server.js';
 export type {CallerServerOptions} from './caller-server.js';
+export {OperatorServer} from './operator-server.js';
+export type {
+  OperatorHandlers,
+  OperatorServerOptions,
+} from './operator-server.js';
+export {PlatformClient} from './platform-client.js';
+export type {
+  Platform,
+  PlatformClientOptions,
+  PlatformValue,
+} from './platform-client.js';
