--- a/packages/command-line/src/commands/index.ts
+++ b/packages/command-line/src/commands/index.ts
@@ -2,6 +2,7 @@
 
 import * as check from './check.js';
 import * as compile from './compile.js';
+import * as demo from './demo.js';
 import * as diff from './diff.js';
 import * as drain from './drain.js';
 import * as explain from './explain.js';
@@ -15,4 +16,5 @@
   compile.CompileCommand,
   status.StatusCommand,
   drain.DrainCommand,
+  demo.DemoCommand,
 ];
--- a/packages/coordination/src/control-request-handler.ts
+++ b/packages/coordination/src/control-request-handler.ts
@@ -21,7 +21,7 @@
   >;
   readonly directory: Pick<
     hostDirectory.HostDirectory,
-    'noteLeaving' | 'noteReachable'
+    'noteLeaving' | 'noteReachable' | 'withdrawLeaving'
   >;
   readonly startedCalls: ownership.StartedCalls;
   readonly status: () => Readonly<Record<string, unknown>>;
@@ -93,6 +93,10 @@
     nowMs: number,
   ): protocol.Acknowledged | protocol.Unsupported {
     if (body.hostId !== remote.hostId) return {kind: 'unsupported'};
+    if (body.withdrawn) {
+      this.options.directory.withdrawLeaving(remote.hostId);
+      return {kind: 'acknowledged'};
+    }
     this.options.directory.noteLeaving(
       remote.hostId,
       remote.incarnation,
--- /dev/null
+++ b/packages/daemon/bin/camphorwharfd.js
@@ -0,0 +1,2 @@
+#!/usr/bin/env node
+import '../lib/main.js';
--- a/packages/daemon/src/call-router.ts
+++ b/packages/daemon/src/call-router.ts
@@ -24,6 +24,8 @@
   readonly peers: transport.PeerDirectory;
   readonly targets: outgoing.TargetChooser;
   readonly thresholds: admission.ThresholdTable;
+  /** A target refused because it is leaving; it gets no further calls. */
+  readonly onLeaving: (remote: protocol.Hello) => void;
 }
 
 type AttemptResult =
@@ -219,7 +221,13 @@
         });
       }
       case 'refused':
-        settle(result.reason === 'overloaded' ? 'overloaded' : 'cancelled', result);
+        settle(
+          result.reason === 'overloaded' ? 'overloaded' : 'cancelled',
+          result,
+        );
+        if (result.reason === 'targetLeaving') {
+          this.options.onLeaving(link.remote);
+        }
         if (result.final || !isRetryable(result.reason)) {
           return final({
             kind: 'refused',
--- a/packages/daemon/src/caller-path.ts
+++ b/packages/daemon/src/caller-path.ts
@@ -1,4 +1,3 @@
-import type * as protocol from '@camphorwharf/protocol';
 import type * as runtime from '@camphorwharf/runtime';
 import type * as transport from '@camphorwharf/transport';
 import type * as callResult from './call-result.js';
@@ -9,8 +8,6 @@
   readonly clock: runtime.Clock;
   readonly metrics: runtime.Metrics;
   readonly entry: entryPath.EntryPath;
-  /** Why new calls are refused at this time; null when they are served. */
-  readonly closedReason: () => protocol.RefusalReasonName | null;
 }
 
 /** Answers callers with what became of their calls. */
@@ -24,11 +21,7 @@
     const startMs = this.options.clock.monotonicMs();
     this.running++;
     try {
-      const closed = this.closedReason(call);
-      const result: callResult.CallResult = closed
-        ? {kind: 'refused', reason: closed, final: true}
-        : await this.options.entry.handle(call);
-      await this.respond(call, result);
+      await this.respond(call, await this.options.entry.handle(call));
     } finally {
       this.running--;
       this.options.metrics.observeSeconds(
@@ -39,16 +32,6 @@
     }
   }
 
-  /** Downstream calls of running requests are served until those end. */
-  private closedReason(
-    call: transport.CallerCall,
-  ): protocol.RefusalReasonName | null {
-    const downstream = call.headers.some(
-      ([header]) => header.toLowerCase() === callerRequest.HANDLE_HEADER,
-    );
-    return downstream ? null : this.options.closedReason();
-  }
-
   private async respond(
     call: transport.CallerCall,
     result: callResult.CallResult,
--- /dev/null
+++ b/packages/daemon/src/daemon.ts
@@ -0,0 +1,373 @@
+import * as coordination from '@camphorwharf/coordination';
+import type * as declaration from '@camphorwharf/declaration';
+import * as ownership from '@camphorwharf/ownership';
+import type * as protocol from '@camphorwharf/protocol';
+import * as runtime from '@camphorwharf/runtime';
+import * as transport from '@camphorwharf/transport';
+import * as backendServerCall from './backend-server-call.js';
+import * as callRouter from './call-router.js';
+import * as callerPath from './caller-path.js';
+import * as daemonParts from './daemon-parts.js';
+import type * as daemonStatus from './daemon-status.js';
+import * as entryPath from './entry-path.js';
+import * as handles from './handles.js';
+import * as healthTask from './health-task.js';
+import type * as settingsFile from './settings.js';
+import * as targetPath from './target-path.js';
+
+/**
+ * Time for which a stopping daemon still serves callers, with answers that
+ * end their connections, before it closes what is idle.
+ */
+const CALLER_GRACE_MS = 2_000;
+
+/** Weight of calls without an organisation while none is declared. */
+const DEFAULT_WEIGHT = 1;
+
+/** One daemon: its servers, clients and tasks. */
+export class Daemon {
+  /** Resolves when the planned stop has ended; false when it cut calls. */
+  readonly stopped: Promise<boolean>;
+  private readonly identity: daemonParts.DaemonIdentity;
+  private readonly metrics = new runtime.Metrics();
+  private readonly register = new ownership.CallRegister();
+  private readonly running: handles.RunningCalls;
+  private readonly tasks = new AbortController();
+  private readonly peers: transport.PeerPool;
+  private readonly listener: transport.PeerListener;
+  private readonly callers: transport.CallerServer;
+  private readonly operators: transport.OperatorServer;
+  private readonly backendServer: transport.BackendServerClient;
+  private readonly parts: daemonParts.CoordinationParts;
+  private readonly load: daemonParts.LoadParts;
+  private readonly health: healthTask.HealthTask;
+  private readonly control: coordination.ControlRequestHandler;
+  private readonly target: targetPath.TargetPath;
+  private readonly callerPath: callerPath.CallerPath;
+  private readonly departure: coordination.DepartureTask;
+  private stopping = false;
+  private targetCalls = 0;
+  private openRouteWeight = DEFAULT_WEIGHT;
+  private resolveStopped: (complete: boolean) => void = () => undefined;
+
+  constructor(
+    private readonly settings: settingsFile.Settings,
+    private readonly environment: daemonParts.DaemonEnvironment,
+  ) {
+    const {clock, random, logger} = environment;
+    this.stopped = new Promise(resolve => (this.resolveStopped = resolve));
+    this.identity = {
+      self: daemonParts.selfEntry(settings),
+      incarnation: runtime.randomIdentifier(random, 8),
+    };
+    this.running = new handles.RunningCalls(random);
+    const common = {clock, logger, metrics: this.metrics};
+    const peerOptions: transport.PeerOptions = {
+      ...common,
+      hello: {
+        hostId: settings.host_id,
+        incarnation: this.identity.incarnation,
+        service: settings.service,
+        availabilityZone: settings.availability_zone,
+      },
+      handler: {
+        onRequest: (body, link) => this.control.handle(body, link),
+        onCall: call => this.serveTarget(call),
+      },
+    };
+    this.peers = new transport.PeerPool(peerOptions);
+    this.listener = new transport.PeerListener(peerOptions);
+    this.parts = daemonParts.createCoordination(
+      settings,
+      this.identity,
+      environment,
+      this.metrics,
+      daemonParts.createStore(environment, this.metrics),
+      this.peers,
+    );
+    this.load = daemonParts.createLoadParts(
+      settings,
+      environment,
+      this.metrics,
+      this.parts.directory,
+    );
+    this.backendServer = new transport.BackendServerClient({
+      clock,
+      ...settings.backend_server,
+    });
+    this.health = new healthTask.HealthTask({
+      ...common,
+      client: this.backendServer,
+      healthPath: settings.backend_server.health_path,
+      loadPath: settings.backend_server.load_path,
+      onHealth: health => this.onBackendServerHealth(health),
+      onLoad: (inFlight, slots) =>
+        this.load.controller.noteReportedLoad(
+          inFlight,
+          slots,
+          clock.monotonicMs(),
+        ),
+    });
+    this.control = new coordination.ControlRequestHandler({
+      ...common,
+      ...this.parts,
+      incarnation: this.identity.incarnation,
+      startedCalls: this.register,
+      status: () => ({...this.status()}),
+    });
+    this.target = this.createTargetPath();
+    this.callerPath = this.createCallerPath();
+    this.departure = this.createDeparture();
+    this.callers = new transport.CallerServer({
+      ...common,
+      handler: call => this.callerPath.handle(call),
+      maximumConnections: settings.limits.caller_connections,
+    });
+    this.operators = new transport.OperatorServer({
+      logger,
+      handlers: {
+        alive: () => true,
+        ready: () => this.ready,
+        metrics: () => this.metrics.exposition(),
+        status: () => this.status(),
+        drain: () => this.beginStop(),
+      },
+    });
+    this.parts.store.onAdopted(({document, index}) =>
+      this.onDocument(document, index),
+    );
+  }
+
+  /** Whether calls that need an owner can be served. */
+  get ready(): boolean {
+    const membership = this.parts.cell.membership;
+    return (
+      !this.stopping &&
+      this.parts.store.current !== null &&
+      membership !== null &&
+      membership.createPing(this.environment.clock.monotonicMs()).active
+    );
+  }
+
+  /** Opens the ports and starts the tasks. Throws when a port is taken. */
+  async start(): Promise<void> {
+    const {listen} = this.settings;
+    const {clock, logger} = this.environment;
+    await this.listener.listen(listen.peer_port, listen.address);
+    await this.operators.listen(listen.operator_port, listen.address);
+    await this.callers.listen(listen.caller_port, listen.address);
+    this.load.controller.beginColdStart(clock.monotonicMs());
+    const {signal} = this.tasks;
+    const tasks: Readonly<
+      Record<string, {run(s: AbortSignal): Promise<void>}>
+    > = {
+      admission: this.load.admission,
+      cell: this.parts.cell,
+      configuration: this.parts.configuration,
+      health: this.health,
+      probes: this.parts.probes,
+    };
+    for (const [task, {run}] of Object.entries(tasks)) {
+      run.call(tasks[task], signal).catch((error: unknown) => {
+        // A daemon without one of its tasks would act on old state.
+        logger.error('task-failed', {task, error: String(error)});
+        this.finish(false);
+      });
+    }
+    logger.info('daemon-started', {
+      hostId: this.settings.host_id,
+      incarnation: this.identity.incarnation,
+    });
+  }
+
+  /** Begins the planned stop; `stopped` tells when it has ended. */
+  beginStop(): void {
+    if (this.stopping) return;
+    this.stopping = true;
+    this.stop().catch((error: unknown) => {
+      this.environment.logger.error('stop-failed', {error: String(error)});
+      this.finish(false);
+    });
+  }
+
+  private async stop(): Promise<void> {
+    const {clock} = this.environment;
+    const limitMs = this.settings.limits.drain_seconds * 1_000;
+    const timer = new AbortController();
+    void clock.delay(limitMs, timer.signal).then(() => {
+      if (!timer.signal.aborted) this.finish(false);
+    });
+    this.callers.beginStop();
+    const grace = clock.delay(CALLER_GRACE_MS);
+    const {unfinishedCalls} = await this.departure.run(limitMs);
+    // Callers and downstream calls of the last running requests are served
+    // until here, so the port closes last.
+    await grace;
+    await this.callers.stop();
+    this.tasks.abort();
+    await Promise.all([
+      this.peers.closeWhenIdle(),
+      this.listener.closeWhenIdle(),
+      this.operators.stop(),
+    ]);
+    timer.abort();
+    this.finish(unfinishedCalls === 0);
+  }
+
+  private finish(complete: boolean): void {
+    this.tasks.abort();
+    this.resolveStopped(complete);
+  }
+
+  private async serveTarget(call: transport.IncomingCall): Promise<void> {
+    this.targetCalls++;
+    try {
+      await this.target.handle(call);
+    } finally {
+      this.targetCalls--;
+    }
+  }
+
+  private createTargetPath(): targetPath.TargetPath {
+    const {clock} = this.environment;
+    return new targetPath.TargetPath({
+      clock,
+      service: this.settings.service,
+      admission: this.load.admission,
+      register: this.register,
+      backendServer: new backendServerCall.BackendServerCaller({
+        clock,
+        client: this.backendServer,
+        running: this.running,
+      }),
+      weightOf: organisation => this.weightOf(organisation),
+      closedReason: () => this.targetClosedReason(),
+    });
+  }
+
+  private createCallerPath(): callerPath.CallerPath {
+    const {clock, random} = this.environment;
+    const {metrics, running} = this;
+    const router = new callRouter.CallRouter({
+      clock,
+      metrics,
+      peers: this.peers,
+      targets: this.load.targets,
+      thresholds: this.load.thresholds,
+      onLeaving: ({hostId, incarnation}) =>
+        this.parts.directory.noteLeaving(
+          hostId,
+          incarnation,
+          'refusal',
+          clock.monotonicMs(),
+        ),
+    });
+    const entry = new entryPath.EntryPath({
+      clock,
+      random,
+      routes: () => this.parts.store.current?.index ?? null,
+      limits: this.parts.limits,
+      keys: this.parts.keys,
+      router,
+      running,
+    });
+    return new callerPath.CallerPath({clock, metrics, entry});
+  }
+
+  private createDeparture(): coordination.DepartureTask {
+    const {clock, logger} = this.environment;
+    return new coordination.DepartureTask({
+      clock,
+      logger,
+      hostId: this.settings.host_id,
+      links: () => [...this.peers.connections, ...this.listener.connections],
+      cell: this.parts.cell,
+      limits: this.parts.limits,
+      stopAccepting: () => undefined,
+      runningCalls: () => this.targetCalls,
+    });
+  }
+
+  private targetClosedReason(): protocol.RefusalReasonName | null {
+    if (this.stopping) return 'targetLeaving';
+    switch (this.health.health) {
+      case 'up':
+        return null;
+      case 'down':
+        return 'targetUnavailable';
+      case 'leaving':
+        return 'targetLeaving';
+    }
+  }
+
+  private onBackendServerHealth(health: healthTask.BackendServerHealth): void {
+    const {hostId} = this.identity.self;
+    const nowMs = this.environment.clock.monotonicMs();
+    if (health === 'up') this.load.controller.beginColdStart(nowMs);
+    if (health !== 'leaving' && this.stopping) return;
+    const withdrawn = health !== 'leaving';
+    const {directory} = this.parts;
+    if (withdrawn) directory.withdrawLeaving(hostId);
+    else directory.noteLeaving(hostId, null, 'backendHealth', nowMs);
+    const links = [...this.peers.connections, ...this.listener.connections];
+    for (const link of links) {
+      // Peers that miss the notice learn it from the next refusal.
+      link
+        .request({kind: 'leaving', hostId, withdrawn}, 1_000)
+        .catch(() => undefined);
+    }
+  }
+
+  private onDocument(
+    document: declaration.PublishedDocument,
+    index: declaration.DocumentIndex,
+  ): void {
+    this.load.controller.setLimits(index.servicePolicy(this.settings.service));
+    // Calls without a key share the target like the smallest organisation.
+    this.openRouteWeight = Math.min(
+      ...document.organisations.map(({ratePerSecond}) => ratePerSecond),
+      Number.MAX_SAFE_INTEGER,
+    );
+  }
+
+  private weightOf(organisation: string | null): number {
+    if (organisation === null) return this.openRouteWeight;
+    const index = this.parts.store.current?.index;
+    return index?.organisation(organisation)?.ratePerSecond ?? DEFAULT_WEIGHT;
+  }
+
+  private status(): daemonStatus.DaemonStatus {
+    const {store, directory, cell} = this.parts;
+    const {controller} = this.load;
+    const nowMs = this.environment.clock.monotonicMs();
+    const membership = cell.membership;
+    const view = membership?.adopted ?? null;
+    const policy = store.current?.index.servicePolicy(this.settings.service);
+    return {
+      hostId: this.settings.host_id,
+      incarnation: this.identity.incarnation,
+      service: this.settings.service,
+      availabilityZone: this.settings.availability_zone,
+      revision: store.current?.revision ?? null,
+      digest: store.current?.digest ?? null,
+      hostListRevision: directory.hostList.revision,
+      cell: membership?.cell ?? null,
+      view: membership &&
+        view && {
+          ...view.identity,
+          members: view.members.length,
+          active: membership.createPing(nowMs).active,
+        },
+      limits: {
+        concurrency: controller.concurrencyLimit,
+        queue: policy?.maximumQueue ?? 0,
+      },
+      sheddingThreshold: controller.threshold(nowMs),
+      inFlight: controller.inFlight,
+      waiting: controller.waiting,
+      callerCalls: this.callerPath.running,
+      backendServer: this.health.health,
+      leaving: this.stopping || this.health.health === 'leaving',
+    };
+  }
+}
--- a/packages/daemon/src/entry-path.ts
+++ b/packages/daemon/src/entry-path.ts
@@ -1,4 +1,5 @@
 import * as admission from '@camphorwharf/admission';
+import type * as coordination from '@camphorwharf/coordination';
 import type * as declaration from '@camphorwharf/declaration';
 import type * as protocol from '@camphorwharf/protocol';
 import * as protocolValues from '@camphorwharf/protocol';
@@ -16,46 +17,12 @@
 /** Entries kept for retry ratios; one per service. */
 const MAXIMUM_RETRY_RATIOS = 1_000;
 
-/** The parts of the configuration in force that the entry reads. */
-export interface RouteDirectory {
-  matchRoute(
-    service: string,
-    method: string,
-    path: string,
-  ): declaration.Route | null;
-  organisationOfKey(keyHash: string): declaration.Organisation | null;
-  organisation(name: string): declaration.Organisation | null;
-  effectivePolicy(
-    route: declaration.Route,
-    organisation: declaration.Organisation | null,
-  ): declaration.EffectivePolicy;
-}
-
-/** Takes organisation tokens over the fleet. */
-export interface LimitSpender {
-  spend(
-    organisation: string,
-    nowMs: number,
-    signal: AbortSignal,
-  ): Promise<'granted' | 'limitExceeded' | 'limitUnavailable'>;
-}
-
-/** Claims idempotency keys at their owners. */
-export interface KeyClaimer {
-  claim(
-    claim: Omit<protocol.KeyClaim, 'kind'>,
-    signal: AbortSignal,
-  ): Promise<protocol.KeyAnswer['verdict'] | {readonly kind: 'unavailable'}>;
-  settle(settle: Omit<protocol.KeySettle, 'kind'>): void;
-}
-
 export interface EntryPathOptions {
   readonly clock: runtime.Clock;
   readonly random: runtime.RandomSource;
-  readonly metrics: runtime.Metrics;
-  readonly routes: () => RouteDirectory | null;
-  readonly limits: LimitSpender;
-  readonly keys: KeyClaimer;
+  readonly routes: () => declaration.DocumentIndex | null;
+  readonly limits: Pick<coordination.LimitClient, 'trySpend' | 'spend'>;
+  readonly keys: Pick<coordination.KeyClient, 'claim' | 'settle'>;
   readonly router: callRouter.CallRouter;
   readonly running: handles.RunningCalls;
 }
@@ -104,17 +71,24 @@
     if (entitlement.parent || !entitlement.organisation) {
       return this.forward(call, request, route, entitlement);
     }
-    const spent = await this.options.limits.spend(
-      entitlement.organisation.name,
-      this.options.clock.monotonicMs(),
-      call.signal,
-    );
+    const spent = await this.spend(entitlement.organisation.name, call.signal);
     if (spent !== 'granted') return refused(spent);
     return this.forward(call, request, route, entitlement);
   }
 
+  /** Takes one token; waits only when no prepaid token is held. */
+  private async spend(
+    organisation: string,
+    signal: AbortSignal,
+  ): Promise<coordination.SpendResult> {
+    const {limits, clock} = this.options;
+    const nowMs = clock.monotonicMs();
+    if (limits.trySpend(organisation, nowMs)) return 'granted';
+    return limits.spend(organisation, nowMs, signal);
+  }
+
   private resolveEntitlement(
-    routes: RouteDirectory,
+    routes: declaration.DocumentIndex,
     route: declaration.Route,
     request: callerRequest.CallerRequest,
   ): Entitlement | protocol.RefusalReasonName {
@@ -133,7 +107,7 @@
   }
 
   private resolveHandle(
-    routes: RouteDirectory,
+    routes: declaration.DocumentIndex,
     route: declaration.Route,
     handle: string,
   ): Entitlement | protocol.RefusalReasonName {
@@ -217,10 +191,13 @@
       idempotencyKey,
       requestId,
     };
+    const nowMs = this.options.clock.monotonicMs();
     const verdict = await this.options.keys.claim(
       {...identity, payloadDigest: await payloadDigest(outgoing)},
-      outgoing.signal,
+      nowMs,
+      outgoing.deadlineMs - nowMs,
     );
+    if (verdict === 'unavailable') return refused('keyOwnerUnavailable');
     switch (verdict.kind) {
       case 'claimed':
         break;
@@ -234,7 +211,6 @@
       case 'invalid':
         return refused('idempotencyKeyInvalid');
       case 'tableFull':
-      case 'unavailable':
         return refused('keyOwnerUnavailable');
     }
     const result = await this.options.router.send(outgoing);
@@ -243,13 +219,14 @@
   }
 
   private retryRatio(service: string, ratio: number): admission.RetryRatio {
-    let known = this.retryRatios.get(service);
+    const name = `${service}|${ratio}`;
+    let known = this.retryRatios.get(name);
     if (!known) {
       if (this.retryRatios.size >= MAXIMUM_RETRY_RATIOS) {
         this.retryRatios.clear();
       }
       known = new admission.ServiceRetryRatio(ratio);
-      this.retryRatios.set(service, known);
+      this.retryRatios.set(name, known);
     }
     return known;
   }
--- a/packages/protocol/src/control-messages.ts
+++ b/packages/protocol/src/control-messages.ts
@@ -144,6 +144,8 @@
 export interface Leaving {
   readonly kind: 'leaving';
   readonly hostId: string;
+  /** Set when the host stays after all. */
+  readonly withdrawn?: boolean;
 }
 export interface StatusQuery {
   readonly kind: 'status';
--- a/packages/transport/src/caller-server.ts
+++ b/packages/transport/src/caller-server.ts
@@ -73,6 +73,15 @@
     });
   }
 
+  /**
+   * Makes each answer end its connection, so that callers move elsewhere
+   * before `stop` closes what is idle. Closing idle connections at once would
+   * cut requests that are on their way.
+   */
+  beginStop(): void {
+    this.stopping = true;
+  }
+
   /**
    * Accepts no further connections, finishes the running calls with
    * `connection: close`, and closes idle connections. Resolves when every
@@ -101,7 +110,8 @@
     const headers = httpHeaders.pairHeaders(request.rawHeaders);
     response.on('finish', () => {
       // Connections that became idle during the stop are closed as well.
-      if (this.stopping) setImmediate(() => this.server.closeIdleConnections());
+      if (!this.server.listening)
+        setImmediate(() => this.server.closeIdleConnections());
     });
     const call = new callerCall.HttpCallerCall(
       request,
