--- a/packages/experiments/src/measures.ts
+++ b/packages/experiments/src/measures.ts
@@ -69,6 +69,8 @@
   constructor(
     private readonly path: callPath.CallPath,
     private readonly phases: Phases,
+    /** Organisations that send no more than their agreed rate. */
+    private readonly modest: ReadonlySet<string>,
   ) {
     for (let atMs = 0; atMs < phases.endMs; atMs += SERIES_MS) {
       this.series.push({atMs, offered: 0, completed: 0, completedOfOffered: 0});
@@ -86,7 +88,11 @@
       const completion = this.point(nowMs);
       if (completion) completion.completed++;
     }
-    if (this.isWithinRate(call)) {
+    if (
+      call.arrivedMs >= this.phases.causeStartMs &&
+      this.modest.has(call.organisation) &&
+      this.isWithinRate(call)
+    ) {
       this.withinRate++;
       if (!done) this.withinRateLost++;
     }
--- a/packages/experiments/src/run-experiment.ts
+++ b/packages/experiments/src/run-experiment.ts
@@ -124,13 +124,20 @@
   const arrivals = new runtime.SeededRandom(seed + 1_000_003);
   const causeEndMs = WARM_UP_MS + scenario.causeMs;
   const endMs = causeEndMs + scenario.afterMs;
-  const recorder = new measures.Recorder(path, {
-    causeStartMs: WARM_UP_MS,
-    causeEndMs,
-    endMs,
-    capacityPart: sinceMs => scenario.capacityPart(sinceMs, deployment),
-  });
   const {organisations} = deployment.document;
+  const modest = organisations.filter(
+    (_, index) => scenario.factor(index, scenario.causeMs / 2) <= 1,
+  );
+  const recorder = new measures.Recorder(
+    path,
+    {
+      causeStartMs: WARM_UP_MS,
+      causeEndMs,
+      endMs,
+      capacityPart: sinceMs => scenario.capacityPart(sinceMs, deployment),
+    },
+    new Set(modest.map(organisation => organisation.name)),
+  );
   const load: callers.Load = {
     importance: scenario.classes ? null : 2,
     retries: scenario.retries,
