--- a/packages/command-line/src/commands/demo.ts
+++ b/packages/command-line/src/commands/demo.ts
@@ -10,6 +10,9 @@
 import * as exitCodes from '../exit-code.js';
 import * as operatorCommand from '../operator-command.js';
 
+/** More would measure the machine, not the deployment. */
+const MAXIMUM_RATE = 5_000;
+
 export class DemoCommand extends operatorCommand.OperatorCommand {
   static override paths = [['demo']];
   static override usage = clipanion.Command.Usage({
@@ -34,6 +37,9 @@
   seed = clipanion.Option.String('--seed', '1', {
     description: 'Seed of the load; a whole number.',
   });
+  rate = clipanion.Option.String('--rate', {
+    description: 'Normal arrivals per second, for slower or busy machines.',
+  });
   svg = clipanion.Option.String('--svg', {
     description: 'File for the plot of outcomes over time.',
   });
@@ -46,7 +52,14 @@
         `--seed ${this.seed}: use a whole number from 0`,
       );
     }
-    const result = await this.runDeployment(seed);
+    const rate = Number(this.rate ?? 1);
+    if (!(rate > 0 && rate <= MAXIMUM_RATE)) {
+      throw errors.commandError(
+        exitCodes.ExitCode.usage,
+        `--rate ${this.rate}: use a number above 0 and up to ${MAXIMUM_RATE}`,
+      );
+    }
+    const result = await this.runDeployment(seed, rate);
     if (this.svg !== undefined) {
       fs.writeFileSync(this.svg, observations.renderPlot(result.observations));
     }
@@ -56,11 +69,15 @@
       : exitCodes.ExitCode.refused;
   }
 
-  private async runDeployment(seed: number): Promise<scenarios.DemoReport> {
+  private async runDeployment(
+    seed: number,
+    rate: number,
+  ): Promise<scenarios.DemoReport> {
     try {
       return await runDemo.runDemo({
         deployment: this.deployment,
         seed,
+        requestsPerSecond: this.rate === undefined ? undefined : rate,
         progress: message => this.context.stderr.write(`${message}\n`),
       });
     } catch (error) {
--- a/packages/command-line/src/demo/run-demo.ts
+++ b/packages/command-line/src/demo/run-demo.ts
@@ -12,6 +12,8 @@
 export interface DemoOptions {
   readonly deployment: string;
   readonly seed: number;
+  /** Replaces the deployment's normal arrival rate. */
+  readonly requestsPerSecond?: number;
   readonly progress: (message: string) => void;
 }
 
@@ -22,13 +24,17 @@
 export async function runDemo(
   options: DemoOptions,
 ): Promise<scenarios.DemoReport> {
-  const deployment = deployments.DEPLOYMENTS[options.deployment];
-  if (!deployment) {
+  const declared = deployments.DEPLOYMENTS[options.deployment];
+  if (!declared) {
     throw new runtime.ConfigurationError(
       `No deployment "${options.deployment}"; use one of ` +
         Object.keys(deployments.DEPLOYMENTS).join(', '),
     );
   }
+  const deployment: deployments.DemoDeployment = {
+    ...declared,
+    requestsPerSecond: options.requestsPerSecond ?? declared.requestsPerSecond,
+  };
   const clock = new runtime.SystemClock();
   const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'camphorwharf-demo-'));
   const processes = new processSet.ProcessSet(clock, folder);
--- a/packages/command-line/src/demo/scenario.ts
+++ b/packages/command-line/src/demo/scenario.ts
@@ -38,6 +38,8 @@
 /** Time from publishing a revocation until no call of the key succeeds. */
 const REVOCATION_BOUND_MS = 6_000;
 const SECONDS = 1_000;
+/** Time until callers see that a host is gone. */
+const LIST_LAG_MS = 1_000;
 
 /** Runs the demo's phases on a fleet that is ready. */
 export class DemoScenario {
@@ -173,8 +175,11 @@
       seconds: 5,
       load: 1,
       act: async () => {
+        const stopped = this.processes.stop(host.daemon!, 'SIGTERM');
+        // Callers follow the published list, which lags.
+        await this.clock.delay(LIST_LAG_MS);
         this.unused.add(host.entry.hostId);
-        exitCode = await this.processes.stop(host.daemon!, 'SIGTERM');
+        exitCode = await stopped;
         await this.fleet.publishHosts(this.unused);
       },
     });
@@ -195,8 +200,10 @@
       seconds: 6,
       load: 1,
       act: async () => {
-        this.unused.add(host.entry.hostId);
         await this.processes.stop(host.daemon!, 'SIGKILL');
+        await this.clock.delay(LIST_LAG_MS);
+        this.unused.add(host.entry.hostId);
+        await this.fleet.publishHosts(this.unused);
       },
     });
   }
@@ -273,7 +280,7 @@
     readonly requests: readonly standIns.LoadRequest[];
   }): Promise<standIns.LoadResults> {
     const generator = new standIns.LoadGenerator({
-      entryUrls: this.fleet.callerUrls(this.unused),
+      entryUrls: () => this.fleet.callerUrls(this.unused),
       organisations: options.organisations,
       requests: options.requests,
       requestsPerSecond: options.requestsPerSecond,
--- a/packages/stand-ins/src/load-generator.ts
+++ b/packages/stand-ins/src/load-generator.ts
@@ -24,8 +24,8 @@
 }
 
 export interface LoadGeneratorOptions {
-  /** Base URLs of entry daemons; each request takes one at random. */
-  readonly entryUrls: readonly string[];
+  /** Base URLs of entry daemons now; each request takes one at random. */
+  readonly entryUrls: () => readonly string[];
   readonly organisations: readonly LoadOrganisation[];
   readonly requests: readonly LoadRequest[];
   readonly requestsPerSecond: number;
@@ -52,6 +52,9 @@
   readonly body: string | null;
 }
 
+/** Further entry daemons that a client tries when one refuses to connect. */
+const MAXIMUM_OTHER_ENTRIES = 3;
+
 /** Open-loop load: arrivals do not wait for answers. */
 export class LoadGenerator {
   readonly results = new loadResults.LoadResults();
@@ -105,14 +108,10 @@
     const organisation = drawWeighted(options.organisations, random);
     const request = drawWeighted(options.requests, random);
     const nonce = runtime.randomIdentifier(random, 8);
-    const entryUrl =
-      options.entryUrls[
-        runtime.randomInteger(random, options.entryUrls.length)
-      ] ?? '';
     return {
       organisation,
       request,
-      entryUrl,
+      entryUrl: this.drawEntryUrl(),
       path: `${request.path}?nonce=${nonce}`,
       idempotencyKey: request.nonIdempotent
         ? `${Math.round(this.clock.wallMs())}-${nonce}`
@@ -121,12 +120,19 @@
     };
   }
 
+  private drawEntryUrl(): string {
+    const entryUrls = this.options.entryUrls();
+    return (
+      entryUrls[runtime.randomInteger(this.random, entryUrls.length)] ?? ''
+    );
+  }
+
   private async send(arrival: Arrival, dueMs: number): Promise<void> {
     this.inFlight++;
     try {
       const attempts = 1 + (this.options.clientRetries ?? 0);
       for (let attempt = 1; attempt <= attempts; attempt++) {
-        const outcome = await this.exchange(arrival);
+        const outcome = await this.exchangeOverEntries(arrival);
         const sample: loadResults.LoadSample = {
           organisation: arrival.organisation.name,
           importance: arrival.request.importance,
@@ -147,6 +153,24 @@
     }
   }
 
+  /**
+   * Goes to another entry daemon when a connection is refused, as clients do:
+   * nothing was sent then.
+   */
+  private async exchangeOverEntries(
+    arrival: Arrival,
+  ): Promise<loadResults.LoadOutcome> {
+    let outcome = await this.exchange(arrival);
+    for (let other = 0; other < MAXIMUM_OTHER_ENTRIES; other++) {
+      if (outcome.reason !== 'ECONNREFUSED') break;
+      outcome = await this.exchange({
+        ...arrival,
+        entryUrl: this.drawEntryUrl(),
+      });
+    }
+    return outcome;
+  }
+
   private async exchange(arrival: Arrival): Promise<loadResults.LoadOutcome> {
     const {request} = arrival;
     const path =
--- a/packages/stand-ins/src/test/stand-ins_test.ts
+++ b/packages/stand-ins/src/test/stand-ins_test.ts
@@ -135,7 +135,7 @@
       );
     });
     const results = await new standIns.LoadGenerator({
-      entryUrls: [`http://127.0.0.1:${port}`],
+      entryUrls: () => [`http://127.0.0.1:${port}`],
       organisations: [{name: 'teranga', key: 'k', weight: 1}],
       requests: [
         {
