Test the contract of peer connections; close connections that are opening

A listener or pool that closed while a connection waited for the other end's hello left that connection open for good. Both now end it; the test 'a request without a reply times out, an unreachable peer is an error' found it.

--- a/packages/transport/src/peer-connection.ts
+++ b/packages/transport/src/peer-connection.ts
@@ -252,7 +252,7 @@
       // After a stall of this process, what waits in the kernel is read
       // before the other end is judged.
       if (clock.monotonicMs() - startedMs > 2 * intervalMs) {
-        await new Promise(resolve => setImmediate(resolve));
+        await inputPhase();
       }
       if (this.closed) return;
       const direction = this.heartbeats.silent(clock.monotonicMs(), limitMs);
@@ -263,6 +263,7 @@
   private async limitOpening(): Promise<void> {
     const limitMs = this.options.openingLimitMs ?? options.OPENING_LIMIT_MS;
     await this.options.clock.delay(limitMs, this.lifetime.signal);
+    if (!this.remoteHello) await inputPhase();
     if (!this.remoteHello) this.end('noHello');
   }
 
@@ -303,6 +304,11 @@
   }
 }
 
+/** Resolves after the event loop has polled its sockets once. */
+function inputPhase(): Promise<void> {
+  return new Promise(resolve => setImmediate(resolve));
+}
+
 function closedError(reason: string | null, cause?: unknown): Error {
   return new runtime.ConnectionError(
     `The peer connection ended (${reason ?? 'closed'}). Open a new one.`,
--- a/packages/transport/src/peer-listener.ts
+++ b/packages/transport/src/peer-listener.ts
@@ -16,6 +16,8 @@
 export class PeerListener {
   private readonly server: net.Server;
   private readonly open = new Set<peerConnection.PeerConnection>();
+  /** Sockets whose hello has not arrived; a close must reach them too. */
+  private readonly opening = new Set<net.Socket>();
 
   constructor(private readonly options: PeerListenerOptions) {
     this.server = net.createServer(socket => void this.accept(socket));
@@ -48,6 +50,7 @@
   /** Accepts no further connections; open ones continue. */
   stopAccepting(): void {
     this.server.close();
+    for (const socket of this.opening) socket.destroy();
   }
 
   /** Stops accepting and closes each connection when its work is done. */
@@ -66,6 +69,7 @@
 
   private async accept(socket: net.Socket): Promise<void> {
     let connection: peerConnection.PeerConnection;
+    this.opening.add(socket);
     try {
       connection = await peerConnection.PeerConnection.open(
         socket,
@@ -74,6 +78,8 @@
       );
     } catch {
       return; // Counted and logged by the connection.
+    } finally {
+      this.opening.delete(socket);
     }
     if (connection.closed) return;
     this.open.add(connection);
--- a/packages/transport/src/peer-pool.ts
+++ b/packages/transport/src/peer-pool.ts
@@ -55,17 +55,15 @@
     address: string,
     port: number,
   ): Promise<peerConnection.PeerConnection> {
-    if (this.closing) {
-      throw new runtime.ConnectionError(
-        'This process is closing its peer connections. Use another host.',
-      );
-    }
+    this.requireOpen();
     const socket = await this.dial(address, port);
     const connection = await peerConnection.PeerConnection.open(
       socket,
       this.options,
       true,
     );
+    if (this.closing) connection.close('pool closed');
+    this.requireOpen();
     this.open.add(connection);
     void connection.ended.then(() => this.open.delete(connection));
     return connection;
@@ -85,6 +83,13 @@
     for (const connection of [...this.open]) connection.close(reason);
   }
 
+  private requireOpen(): void {
+    if (!this.closing) return;
+    throw new runtime.ConnectionError(
+      'This process is closing its peer connections. Use another host.',
+    );
+  }
+
   private async openShared(
     key: string,
     entry: Entry,
--- /dev/null
+++ b/packages/transport/src/test/peer_answer_test.ts
@@ -0,0 +1,255 @@
+import * as net from 'node:net';
+import type * as protocol from '@camphorwharf/protocol';
+import * as runtime from '@camphorwharf/runtime';
+import test from 'ava';
+import type * as ava from 'ava';
+import * as transport from '../index.js';
+import * as fixture from './peer-fixture.js';
+
+/** A target whose frames the test writes, and a connection to it. */
+async function rawTarget(
+  t: ava.ExecutionContext,
+  overrides: Partial<transport.PeerOptions> = {},
+) {
+  let accept!: (peer: fixture.RawPeer) => void;
+  const accepted = new Promise<fixture.RawPeer>(resolve => (accept = resolve));
+  const server = net.createServer(socket =>
+    accept(new fixture.RawPeer(socket)),
+  );
+  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const options = {...fixture.peerOptions('entry'), ...overrides};
+  const pool = new transport.PeerPool(options);
+  const {port} = server.address() as net.AddressInfo;
+  const connecting = pool.connect('127.0.0.1', port);
+  const target = await accepted;
+  target.sendHello();
+  const caller = await connecting;
+  t.teardown(() => {
+    pool.close('test ended');
+    target.socket.destroy();
+    server.close();
+  });
+  return {target, caller, metrics: options.metrics};
+}
+
+type Script = (call: number) => readonly protocol.Frame[];
+const head = (call: number, contentLength: number | null = 3, attempt = 1) =>
+  ({
+    kind: 'answerHead',
+    call,
+    attempt,
+    status: 200,
+    headers: [],
+    contentLength,
+  }) as const;
+const part = (call: number, text = 'abc') =>
+  ({kind: 'answerBody', call, chunk: Buffer.from(text)}) as const;
+const end = (call: number, totalBytes = 3) =>
+  ({kind: 'answerEnd', call, totalBytes, ...fixture.TRAILER}) as const;
+const refusal = (call: number) =>
+  ({
+    kind: 'refusal',
+    call,
+    reason: 'queueFull',
+    final: false,
+    ...fixture.TRAILER,
+  }) as const;
+const whole: Script = call => [head(call), part(call), end(call)];
+
+const incomplete: ReadonlyArray<{name: string; script: Script}> = [
+  {name: 'truncated', script: call => [head(call, 6), part(call), end(call)]},
+  {name: 'overlong', script: call => [head(call, 2), part(call), end(call)]},
+  {
+    name: 'shorter than its end frame says',
+    script: call => [head(call, null), part(call), end(call, 5)],
+  },
+  {
+    name: 'given up by the target',
+    script: call => [
+      head(call),
+      part(call, 'ab'),
+      {
+        kind: 'unknownOutcome',
+        call,
+        reason: 'answerTruncated',
+        ...fixture.TRAILER,
+      },
+    ],
+  },
+  {
+    name: 'larger than the credit',
+    script: call => [
+      head(call, null),
+      ...Array.from({length: 5}, () => part(call, 'x'.repeat(65_536))),
+      end(call, 5 * 65_536),
+    ],
+  },
+];
+for (const {name, script} of incomplete) {
+  test(`an answer that is ${name} throws; the next call works`, async t => {
+    const {target, caller} = await rawTarget(t);
+    const results = [1, 3].map(() =>
+      caller.call(fixture.callHead(), null, fixture.callOptions()),
+    );
+    const {call} = await target.frame('call', 1);
+    target.send(...script(call - 2), ...whole(call));
+    const broken = await results[0];
+    // The second answer shows that the first has been read completely.
+    const good = await results[1];
+    if (broken.kind !== 'answer' || good.kind !== 'answer') return t.fail();
+    t.is((await fixture.readAll(good.body)).toString(), 'abc');
+    await t.throwsAsync(fixture.readAll(broken.body), {
+      instanceOf: runtime.ProtocolError,
+    });
+    await t.throwsAsync(broken.trailer, {instanceOf: runtime.ProtocolError});
+  });
+}
+
+const outOfPlace: ReadonlyArray<{name: string; cause: string; script: Script}> =
+  [
+    {
+      name: 'of another attempt',
+      cause: 'misrouted',
+      script: call => [head(call, 9, 2), ...whole(call)],
+    },
+    {
+      name: 'that repeats the head',
+      cause: 'misrouted',
+      script: call => [head(call), head(call, 9), part(call), end(call)],
+    },
+    {
+      name: 'before the head',
+      cause: 'misrouted',
+      script: call => [part(call, 'zz'), ...whole(call)],
+    },
+    {
+      name: 'of an unknown call',
+      cause: 'unknownCall',
+      script: call => [head(call + 2, 9), ...whole(call)],
+    },
+    {
+      name: 'that refuses an answered call',
+      cause: 'misrouted',
+      script: call => [head(call), refusal(call), part(call), end(call)],
+    },
+    {
+      name: 'that repeats the end',
+      cause: 'late',
+      script: call => [...whole(call), end(call)],
+    },
+    {
+      name: 'that refuses a finished call',
+      cause: 'late',
+      script: call => [...whole(call), refusal(call)],
+    },
+  ];
+for (const {name, cause, script} of outOfPlace) {
+  test(`a frame ${name} is dropped and counted`, async t => {
+    const {target, caller, metrics} = await rawTarget(t);
+    const calling = caller.call(
+      fixture.callHead(),
+      null,
+      fixture.callOptions(),
+    );
+    const {call} = await target.frame('call');
+    target.send(...script(call));
+    const result = await calling;
+    if (result.kind !== 'answer') return t.fail();
+    t.is((await fixture.readAll(result.body)).toString(), 'abc');
+    t.deepEqual(await result.trailer, fixture.TRAILER);
+    target.send({kind: 'request', request: 1, body: {kind: 'status'}});
+    await target.frame('reply');
+    const dropped = 'peer_frames_dropped_total';
+    t.is(await fixture.counter(metrics, dropped, {cause}), 1);
+    t.is(await fixture.counter(metrics, dropped), 1);
+  });
+}
+
+const losses: ReadonlyArray<{
+  name: string;
+  reason: transport.CloseReasonName;
+  overrides?: Partial<transport.PeerOptions>;
+  act: (target: fixture.RawPeer) => void;
+}> = [
+  {
+    name: 'closes',
+    reason: 'remoteClosed',
+    act: target => target.socket.end(),
+  },
+  {
+    name: 'resets',
+    reason: 'socketError',
+    act: target => target.socket.resetAndDestroy(),
+  },
+  {
+    name: 'sends garbage',
+    reason: 'malformed',
+    act: target => target.socket.write('HTTP/1.1 400 Bad Request\r\n\r\n'),
+  },
+  {
+    name: 'sends nothing',
+    reason: 'silent',
+    overrides: {heartbeatIntervalMs: 10, silenceLimitMs: 60},
+    act: () => undefined,
+  },
+  {
+    name: 'acknowledges nothing',
+    reason: 'silent',
+    overrides: {heartbeatIntervalMs: 10, silenceLimitMs: 60},
+    act: target => {
+      let number = 0;
+      const timer = setInterval(() => {
+        target.send({kind: 'heartbeat', number: ++number, acknowledged: 0});
+        if (target.closed) clearInterval(timer);
+      }, 5);
+    },
+  },
+];
+for (const {name, reason, overrides, act} of losses) {
+  test(`a target that ${name} loses its calls (${reason})`, async t => {
+    const {target, caller, metrics} = await rawTarget(t, overrides);
+    const calls = [1, 3].map(() =>
+      caller.call(fixture.callHead(), null, fixture.callOptions()),
+    );
+    const {call} = await target.frame('call', 1);
+    target.send(head(call));
+    const streaming = await calls[1];
+    act(target);
+    t.deepEqual(await calls[0], {kind: 'lost', sent: true});
+    if (streaming.kind !== 'answer') return t.fail();
+    await t.throwsAsync(fixture.readAll(streaming.body), {
+      instanceOf: runtime.ConnectionError,
+    });
+    t.is(await caller.ended, reason);
+    const closed = 'peer_connections_closed_total';
+    t.is(await fixture.counter(metrics, closed, {reason}), 1);
+    t.deepEqual(
+      await caller.call(fixture.callHead(), null, fixture.callOptions()),
+      {kind: 'lost', sent: false},
+    );
+    await t.throwsAsync(caller.request({kind: 'status'}, 1_000), {
+      instanceOf: runtime.ConnectionError,
+    });
+  });
+}
+
+test('a permission states the newest heartbeat and its age', async t => {
+  const clock = new runtime.ManualClock(1_000);
+  const {target, caller} = await rawTarget(t, {clock});
+  const send = async () => {
+    const {signal} = new AbortController();
+    void caller.call(fixture.callHead(), null, {permissionMs: 700, signal});
+    const skip = target.received.filter(({kind}) => kind === 'call').length;
+    return (await target.frame('call', skip)).permission;
+  };
+  await clock.advance(20);
+  const first = {heartbeatNumber: 0, elapsedMs: 20, remainingMs: 700};
+  t.deepEqual(await send(), first);
+  target.send({kind: 'heartbeat', number: 7, acknowledged: 1});
+  // A reply shows that the heartbeat before the request has been read.
+  target.send({kind: 'request', request: 1, body: {kind: 'status'}});
+  await target.frame('reply');
+  await clock.advance(30);
+  const second = {heartbeatNumber: 7, elapsedMs: 30, remainingMs: 700};
+  t.deepEqual(await send(), second);
+});
--- /dev/null
+++ b/packages/transport/src/test/peer_flow_test.ts
@@ -0,0 +1,222 @@
+import * as net from 'node:net';
+import * as runtime from '@camphorwharf/runtime';
+import test from 'ava';
+import * as transport from '../index.js';
+import * as fixture from './peer-fixture.js';
+
+const BODY_BYTES = 20 * 1024 * 1024;
+
+/** A source that records how far it is ahead of its reader. */
+function measuredBody(seed: number) {
+  const random = new runtime.SeededRandom(seed);
+  const lead = {produced: 0, consumed: 0, largest: 0};
+  async function* produce(): AsyncGenerator<Uint8Array, void, void> {
+    while (lead.produced < BODY_BYTES) {
+      const bytes = Math.min(
+        1 + runtime.randomInteger(random, 150_000),
+        BODY_BYTES - lead.produced,
+      );
+      lead.produced += bytes;
+      lead.largest = Math.max(lead.largest, lead.produced - lead.consumed);
+      yield Buffer.alloc(bytes, lead.produced % 251);
+    }
+  }
+  return {lead, body: produce()};
+}
+
+async function readSlowly(
+  body: AsyncIterable<Uint8Array>,
+  lead: {consumed: number},
+): Promise<number> {
+  let chunks = 0;
+  for await (const chunk of body) {
+    lead.consumed += chunk.length;
+    if (++chunks % 8 === 0) {
+      await new Promise(resolve => setTimeout(resolve, 1));
+    }
+  }
+  return lead.consumed;
+}
+
+for (const direction of ['request', 'answer'] as const) {
+  test(`a 20 MB ${direction} body is buffered by less than 1 MB`, async t => {
+    const measured = measuredBody(direction.length);
+    const empty = () => fixture.chunksOf();
+    const pair = await fixture.connectedPair(t, {
+      ...fixture.refuseAll,
+      onCall: async call => {
+        if (call.body) await readSlowly(call.body, measured.lead);
+        await call.answer(
+          {
+            status: 200,
+            headers: [],
+            contentLength: direction === 'answer' ? BODY_BYTES : 0,
+          },
+          direction === 'answer' ? measured.body : empty(),
+          () => fixture.TRAILER,
+        );
+      },
+    });
+    const result = await pair.caller.call(
+      fixture.callHead({
+        hasBody: direction === 'request',
+        contentLength: direction === 'request' ? BODY_BYTES : null,
+      }),
+      direction === 'request' ? measured.body : null,
+      fixture.callOptions(),
+    );
+    if (result.kind !== 'answer') return t.fail();
+    const lead = direction === 'answer' ? measured.lead : {consumed: 0};
+    await readSlowly(result.body, lead);
+    t.is(measured.lead.consumed, BODY_BYTES);
+    // The credit, its return step, and one piece of the source.
+    t.true(measured.lead.largest <= 320 * 1024 + 150_000);
+  });
+}
+
+test('a reader that leaves, an abort and a failing source end the call', async t => {
+  const ended: string[] = [];
+  const pair = await fixture.connectedPair(t, {
+    ...fixture.refuseAll,
+    onCall: async call => {
+      if (call.body) await t.throwsAsync(fixture.readAll(call.body));
+      else {
+        await t.throwsAsync(
+          call.answer(
+            {status: 200, headers: [], contentLength: null},
+            measuredBody(1).body,
+            () => fixture.TRAILER,
+          ),
+          {instanceOf: runtime.ConnectionError},
+        );
+      }
+      t.true(call.signal.aborted);
+      ended.push(call.head.path);
+    },
+  });
+  const left = await pair.caller.call(
+    fixture.callHead({path: '/left'}),
+    null,
+    fixture.callOptions(),
+  );
+  if (left.kind !== 'answer') return t.fail();
+  for await (const chunk of left.body) if (chunk.length > 0) break;
+  await t.throwsAsync(left.trailer, {instanceOf: runtime.ConnectionError});
+  const abort = new AbortController();
+  const {signal} = abort;
+  const aborted = await pair.caller.call(
+    fixture.callHead({path: '/aborted'}),
+    null,
+    fixture.callOptions({signal}),
+  );
+  if (aborted.kind !== 'answer') return t.fail();
+  abort.abort();
+  await t.throwsAsync(fixture.readAll(aborted.body), {
+    instanceOf: runtime.ConnectionError,
+  });
+  async function* failing(): AsyncGenerator<Uint8Array, void, void> {
+    yield Buffer.from('abc');
+    throw new runtime.ConnectionError('The caller went away.');
+  }
+  t.deepEqual(
+    await pair.caller.call(
+      fixture.callHead({path: '/source', hasBody: true}),
+      failing(),
+      fixture.callOptions(),
+    ),
+    {kind: 'lost', sent: true},
+  );
+  await pair.caller.request({kind: 'status'}, 600_000);
+  while (ended.length < 3) await new Promise(resolve => setImmediate(resolve));
+  t.deepEqual(ended, ['/left', '/aborted', '/source']);
+  t.true(pair.caller.idle);
+});
+
+test('a connection that goes silent is replaced while a new one works', async t => {
+  const silence = {heartbeatIntervalMs: 20, silenceLimitMs: 200};
+  const pair = await fixture.connectedPair(
+    t,
+    {...fixture.refuseAll, onCall: async call => hang(call)},
+    silence,
+  );
+  const relay = net.createServer(inner => {
+    const outer = net.connect({port: pair.port, host: '127.0.0.1'});
+    inner.pipe(outer);
+    outer.pipe(inner);
+    for (const socket of [inner, outer]) {
+      socket.on('error', () => undefined);
+      // Stops forwarding in both directions without closing either side.
+      relay.once('silence', () => socket.unpipe().pause());
+    }
+  });
+  await new Promise<void>(resolve => relay.listen(0, '127.0.0.1', resolve));
+  const {port} = relay.address() as net.AddressInfo;
+  const options = {...fixture.peerOptions('entry'), ...silence};
+  const pool = new transport.PeerPool(options);
+  t.teardown(() => {
+    pool.close('test ended');
+    relay.close();
+  });
+  const old = await pool.connect('127.0.0.1', port);
+  t.is(await pool.connect('127.0.0.1', port), old);
+  const calling = old.call(fixture.callHead(), null, fixture.callOptions());
+  await old.request({kind: 'status'}, 600_000);
+  relay.emit('silence');
+  t.deepEqual(await calling, {kind: 'lost', sent: true});
+  t.is(await old.ended, 'silent');
+  const fresh = await pool.connectFresh('127.0.0.1', port);
+  const reply = await fresh.request({kind: 'status'}, 600_000);
+  t.is(reply.kind, 'notOwner');
+  t.not(await pool.connect('127.0.0.1', port), fresh);
+});
+
+function hang(call: transport.IncomingCall): Promise<void> {
+  return new Promise(resolve =>
+    call.signal.addEventListener('abort', () => resolve()),
+  );
+}
+
+test('closeWhenIdle lets the calls in flight finish', async t => {
+  let finish!: () => void;
+  const finished = new Promise<void>(resolve => (finish = resolve));
+  const pair = await fixture.connectedPair(t, {
+    ...fixture.refuseAll,
+    onCall: async call => {
+      await finished;
+      call.refuse('overloaded', false, fixture.TRAILER);
+    },
+  });
+  const calling = pair.caller.call(
+    fixture.callHead(),
+    null,
+    fixture.callOptions(),
+  );
+  await pair.caller.request({kind: 'status'}, 600_000);
+  const closing = pair.listener.closeWhenIdle();
+  t.is(pair.listener.connections.size, 1);
+  finish();
+  t.is((await calling).kind, 'refused');
+  await closing;
+  t.is(await pair.caller.ended, 'remoteClosed');
+});
+
+test('a request without a reply times out, an unreachable peer is an error', async t => {
+  const clock = new runtime.ManualClock();
+  const pair = await fixture.connectedPair(
+    t,
+    {
+      ...fixture.refuseAll,
+      onRequest: () => Promise.reject(new Error('handler failed')),
+    },
+    {clock},
+  );
+  const asking = pair.caller.request({kind: 'status'}, 300);
+  await clock.advance(300);
+  await t.throwsAsync(asking, {instanceOf: runtime.TimeoutError});
+  pair.listener.close('test');
+  await pair.caller.ended;
+  const pool = new transport.PeerPool(fixture.peerOptions('entry'));
+  await t.throwsAsync(pool.connect('127.0.0.1', pair.port), {
+    instanceOf: runtime.ConnectionError,
+  });
+});
