Ping a cell at once after a view change

Members stopped acting from the adoption of a view until the next ping, up to 500 ms, in which no bucket or key had an owner. Each member now pings all others when it adopts a view, and logs it.

--- a/packages/coordination/src/cell-task.ts
+++ b/packages/coordination/src/cell-task.ts
@@ -48,6 +48,8 @@
   readonly exchange: viewExchange.ViewExchange;
   readonly state: ownedState.OwnedState;
   readonly pings: cellPings.CellPings;
+  /** The last adopted view that was logged and made known. */
+  notedView: string | null;
 }
 
 /** Requests that only an owner answers. */
@@ -117,6 +119,7 @@
     const current = membership.answerPing(empty, nowMs);
     const whole = exchange.restorePing(ping, sender, current);
     const answer = whole ? membership.answerPing(whole, nowMs) : current;
+    this.noteView(cell);
     return exchange.compactAnswer(answer, ping, whole === null);
   }
 
@@ -174,6 +177,7 @@
     );
     if (!this.leaving) cell.membership.proposeIfNeeded(nowMs);
     cell.pings.setHosts(this.peersOf(cell));
+    this.noteView(cell);
     this.options.metrics.gauge(
       'cell_view_number',
       'Number of the adopted view; 0 without a view',
@@ -181,6 +185,25 @@
     );
   }
 
+  /**
+   * Pings every member at once after a new view was adopted: until a majority
+   * has answered at that view, no shard of this member has an owner.
+   */
+  private noteView(cell: Cell): void {
+    const {adopted} = cell.membership;
+    if (!adopted) return;
+    const {number, proposer} = adopted.identity;
+    const name = `${number}/${proposer}`;
+    if (name === cell.notedView) return;
+    cell.notedView = name;
+    this.options.logger.info('view-adopted', {
+      number,
+      proposer,
+      members: adopted.members.length,
+    });
+    void cell.pings.pingAll(this.peersOf(cell));
+  }
+
   /** Takes the cell that the document gives to this host. */
   private enterCell(nowMs: number): void {
     const {self, store, directory} = this.options;
@@ -221,6 +244,7 @@
         organisation: name => this.organisation(name),
       }),
       pings: new cellPings.CellPings({...options, membership, exchange}),
+      notedView: null,
     };
   }
 
