Keep caller connections open and never mix a refusal into an answer

Every answer closed its connection, because Node.js marks a request without a body as complete only after the handler has begun; the connection limit test found it.

--- a/packages/transport/src/caller-call.ts
+++ b/packages/transport/src/caller-call.ts
@@ -190,7 +190,9 @@
       flat.push(name, value);
     }
     // The rest of a body that was not read would delay the next request.
-    if (this.closing() || !this.request.complete) {
+    // Without a body, `complete` only turns true after the handler began.
+    const unread = this.body !== null && !this.request.complete;
+    if (this.closing() || unread) {
       flat.push('connection', 'close');
     }
     return flat;
--- a/packages/transport/src/caller-server.ts
+++ b/packages/transport/src/caller-server.ts
@@ -32,6 +32,8 @@
 export class CallerServer {
   private readonly server: http.Server;
   private readonly sockets = new Set<net.Socket>();
+  /** Sockets with a request that has not been answered completely. */
+  private readonly busy = new WeakSet<net.Socket>();
   private stopping = false;
 
   constructor(private readonly options: CallerServerOptions) {
@@ -99,7 +101,10 @@
     response: http.ServerResponse,
   ): Promise<void> {
     const headers = httpHeaders.pairHeaders(request.rawHeaders);
+    const {socket} = request;
+    this.busy.add(socket);
     response.on('finish', () => {
+      this.busy.delete(socket);
       // Connections that became idle during the stop are closed as well.
       if (this.stopping) setImmediate(() => this.server.closeIdleConnections());
     });
@@ -157,6 +162,11 @@
       return;
     }
     this.countRefused(code ?? 'malformed');
+    if (this.busy.has(socket)) {
+      // A refusal here would be read as part of the answer in progress.
+      socket.resetAndDestroy();
+      return;
+    }
     if (code === 'HPE_HEADER_OVERFLOW') {
       refuseSocket(socket, 431, 'Send fewer or shorter headers.');
     } else if (code === 'ERR_HTTP_REQUEST_TIMEOUT') {
--- /dev/null
+++ b/packages/transport/src/test/platform_operator_test.ts
@@ -0,0 +1,149 @@
+import * as runtime from '@camphorwharf/runtime';
+import test from 'ava';
+import * as transport from '../index.js';
+import * as http from './http-fixture.js';
+
+const large = 'x'.repeat(1024 * 1024 + 1);
+const reads: ReadonlyArray<{
+  name: string;
+  status: number;
+  answer: string;
+  read: 'readDocument' | 'readHosts';
+  expected: transport.PlatformValue | 'unchanged' | typeof runtime.BaseError;
+}> = [
+  {
+    name: 'a document in a string',
+    status: 200,
+    answer: '{"revision":7,"document":"{\\"a\\": 1}"}',
+    read: 'readDocument',
+    expected: {revision: 7, text: '{"a": 1}'},
+  },
+  {
+    name: 'a list in place',
+    status: 200,
+    answer: '{"revision":8,"hosts":[{"hostId":"a"}]}',
+    read: 'readHosts',
+    expected: {revision: 8, text: '[{"hostId":"a"}]'},
+  },
+  {
+    name: 'no change',
+    status: 304,
+    answer: '',
+    read: 'readHosts',
+    expected: 'unchanged',
+  },
+  {
+    name: 'a document above 1 MB',
+    status: 200,
+    answer: JSON.stringify({revision: 1, document: large}),
+    read: 'readDocument',
+    expected: runtime.ProtocolError,
+  },
+  {
+    name: 'a negative revision',
+    status: 200,
+    answer: '{"revision":-1,"document":"{}"}',
+    read: 'readDocument',
+    expected: runtime.ProtocolError,
+  },
+  {
+    name: 'a value under another name',
+    status: 200,
+    answer: '{"revision":1,"hosts":[]}',
+    read: 'readDocument',
+    expected: runtime.ProtocolError,
+  },
+  {
+    name: 'text that is no JSON',
+    status: 200,
+    answer: '<html>',
+    read: 'readHosts',
+    expected: runtime.ProtocolError,
+  },
+  {
+    name: 'an error status',
+    status: 500,
+    answer: 'broken',
+    read: 'readDocument',
+    expected: runtime.ConnectionError,
+  },
+];
+for (const {name, status, answer, read, expected} of reads) {
+  test(`the platform answers ${name}`, async t => {
+    const urls: Array<string | undefined> = [];
+    const backend = await http.startBackend((request, response) => {
+      urls.push(request.url);
+      response.writeHead(status).end(answer);
+    });
+    const client = platformClient(backend.port);
+    const reading = client[read](6, 250, new AbortController().signal);
+    if (typeof expected === 'function') {
+      await t.throwsAsync(reading, {instanceOf: expected});
+    } else t.deepEqual(await reading, expected);
+    const name = read === 'readHosts' ? 'hosts' : 'document';
+    t.deepEqual(urls, [`/v1/${name}?wait=250&after=6`]);
+    await client.close();
+    backend.close();
+  });
+}
+
+test('a platform that refuses or never answers gives typed errors', async t => {
+  const backend = await http.startRawBackend(socket => socket.resume());
+  const clock = new runtime.ManualClock();
+  const client = platformClient(backend.port, clock);
+  const {signal} = new AbortController();
+  const waiting = client.readDocument(null, 1_000, signal);
+  await clock.advance(60_000);
+  await t.throwsAsync(waiting, {instanceOf: runtime.TimeoutError});
+  backend.close();
+  await t.throwsAsync(client.readHosts(null, 0, signal), {
+    instanceOf: runtime.ConnectionError,
+  });
+  await t.throwsAsync(client.readHosts(null, 0, AbortSignal.abort()), {
+    instanceOf: runtime.ConnectionError,
+  });
+  await client.close();
+});
+
+function platformClient(
+  port: number,
+  clock: runtime.Clock = new runtime.SystemClock(),
+): transport.PlatformClient {
+  const origin = `http://127.0.0.1:${port}`;
+  return new transport.PlatformClient({clock, origin});
+}
+
+const operatorCases = [
+  {request: 'GET /livez', status: 200, text: 'alive'},
+  {request: 'GET /readyz', status: 503, text: 'Not ready'},
+  {request: 'GET /metrics', status: 200, text: 'camphorwharf_x 1'},
+  {request: 'GET /status?full', status: 200, text: '"revision": 3'},
+  {request: 'POST /drain', status: 202, text: 'Draining', drains: 1},
+  {request: 'GET /drain', status: 405, text: 'Use POST for /drain'},
+  {request: 'DELETE /status', status: 405, text: 'Use GET, HEAD for /status'},
+  {request: 'GET /__proto__', status: 404, text: 'Use one of /livez'},
+];
+for (const {request, status, text, drains = 0} of operatorCases) {
+  test(`operators get ${status} for ${request}`, async t => {
+    let drained = 0;
+    const server = new transport.OperatorServer({
+      logger: runtime.silentLogger,
+      handlers: {
+        alive: () => true,
+        ready: () => false,
+        metrics: async () => 'camphorwharf_x 1\n',
+        status: () => ({revision: 3}),
+        drain: () => drained++,
+      },
+    });
+    const port = await server.listen(0, '127.0.0.1');
+    const answer = await http.exchangeRaw(
+      port,
+      `${request} HTTP/1.1\r\nhost: a\r\nconnection: close\r\n\r\n`,
+    );
+    t.true(answer.text.startsWith(`HTTP/1.1 ${status} `), answer.text);
+    t.true(answer.text.includes(text), answer.text);
+    t.is(drained, drains);
+    await server.stop();
+  });
+}
