--- a/packages/transport/src/test/http-fixture.ts
+++ b/packages/transport/src/test/http-fixture.ts
@@ -2,6 +2,24 @@
 import * as net from 'node:net';
 import * as runtime from '@camphorwharf/runtime';
 import * as transport from '../index.js';
+import * as fixture from './peer-fixture.js';
+
+/** Answers with the body of the call. */
+export async function echo(call: transport.CallerCall): Promise<void> {
+  const body = call.body ? await fixture.readAll(call.body) : Buffer.from('-');
+  await call.respond({
+    status: 200,
+    headers: [
+      ['x-path', call.path],
+      ['camphorwharf-outcome', 'forged'],
+    ],
+    contentLength: body.length,
+    body: fixture.chunksOf(body),
+  });
+}
+
+/** Headers of a request on a connection that ends with it. */
+export const END = 'host: a\r\nconnection: close\r\n\r\n';
 
 export interface RunningServer {
   readonly server: transport.CallerServer;
--- a/packages/transport/src/test/peer_call_test.ts
+++ b/packages/transport/src/test/peer_call_test.ts
@@ -217,6 +217,59 @@
   });
 }
 
+for (const seed of [1, 2, 3, 4, 5, 6, 7, 8]) {
+  test(`frames in random order break no other connection (seed ${seed})`, async t => {
+    const {peer, port} = await rawCaller(t, {
+      onCall: async (call, link) => {
+        const {signal} = call;
+        const back = await link.call(fixture.callHead(), null, {
+          permissionMs: 1,
+          signal,
+        });
+        if (back.kind === 'answer') await fixture.readAll(back.body);
+        const body = call.body ?? fixture.chunksOf('abc');
+        const head = {status: 200, headers: [], contentLength: null};
+        await call.answer(head, body, () => fixture.TRAILER);
+      },
+    });
+    const random = new runtime.SeededRandom(seed);
+    const pick = (limit: number) => runtime.randomInteger(random, limit);
+    const chunk = Buffer.from('abc');
+    peer.sendHello();
+    for (let step = 0; step < 2_000; step++) {
+      const call = pick(40);
+      const trailer = {call, ...fixture.TRAILER};
+      const context = {status: 200, headers: [], contentLength: null};
+      const frames: readonly protocol.Frame[] = [
+        callFrame(call, {hasBody: pick(2) === 0}),
+        {
+          kind: 'callBody',
+          call,
+          chunk,
+          last: pick(2) === 0,
+          totalBytes: pick(9),
+        },
+        {kind: 'callCredit', call, bytes: pick(9)},
+        {kind: 'answerHead', call, attempt: 1 + pick(2), ...context},
+        {kind: 'answerBody', call, chunk},
+        {kind: 'answerEnd', totalBytes: pick(9), ...trailer},
+        {kind: 'refusal', reason: 'queueFull', final: false, ...trailer},
+        {kind: 'unknownOutcome', reason: 'answerLost', ...trailer},
+        {kind: 'cancel', call},
+        {kind: 'reply', request: call, body: {kind: 'notOwner'}},
+      ];
+      peer.send(frames[pick(frames.length)]);
+    }
+    peer.send({kind: 'request', request: 1, body: {kind: 'status'}});
+    t.is((await peer.frame('reply')).request, 1);
+    const other = await fixture.RawPeer.connect(port);
+    other.sendHello();
+    other.send({kind: 'request', request: 2, body: {kind: 'status'}});
+    t.is((await other.frame('reply')).request, 2);
+    other.socket.destroy();
+  });
+}
+
 test('a cancel aborts the signal and ends the body', async t => {
   let done!: () => void;
   const finished = new Promise<void>(resolve => (done = resolve));
