Suspect hosts only when their connection fails

A control request that timed out excluded a busy host from new work for 5 s. Only connection errors count as signs of an unreachable host now.

--- a/packages/coordination/src/cell-pings.ts
+++ b/packages/coordination/src/cell-pings.ts
@@ -91,8 +91,10 @@
       const link = await this.linkTo(host, mayOpen);
       if (!link) return;
       if (await this.pingOnce(link, false)) await this.pingOnce(link, true);
-    } catch {
-      directory.noteUnreachable(hostId, clock.monotonicMs());
+    } catch (error) {
+      if (peerExchange.showsUnreachable(error)) {
+        directory.noteUnreachable(hostId, clock.monotonicMs());
+      }
       metrics.count(
         'cell_ping_failures_total',
         'View pings that were not answered',
--- a/packages/coordination/src/configuration-store.ts
+++ b/packages/coordination/src/configuration-store.ts
@@ -36,7 +36,9 @@
 }
 
 /** Holds the last valid document; its revision never decreases. */
-export class ConfigurationStore<Index> implements ConfigurationAccess {
+export class ConfigurationStore<
+  Index = unknown,
+> implements ConfigurationAccess {
   private inForce: ConfigurationInForce<Index> | null = null;
   private invalidDigest: string | null = null;
   private readonly listeners = new Set<
--- a/packages/coordination/src/configuration-task.ts
+++ b/packages/coordination/src/configuration-task.ts
@@ -227,8 +227,10 @@
     try {
       return await peerExchange.connectToHost(peers, partner);
     } catch (error) {
-      directory.noteUnreachable(partner.hostId, clock.monotonicMs());
-      this.relaysStale = true;
+      if (peerExchange.showsUnreachable(error)) {
+        directory.noteUnreachable(partner.hostId, clock.monotonicMs());
+        this.relaysStale = true;
+      }
       throw error;
     }
   }
--- a/packages/coordination/src/owner-client.ts
+++ b/packages/coordination/src/owner-client.ts
@@ -116,8 +116,10 @@
     if (!host) return {kind: 'notOwner'};
     try {
       return await peerExchange.requestOfHost(peers, host, body, timeoutMs);
-    } catch {
-      directory.noteUnreachable(hostId, clock.monotonicMs());
+    } catch (error) {
+      if (peerExchange.showsUnreachable(error)) {
+        directory.noteUnreachable(hostId, clock.monotonicMs());
+      }
       return null;
     }
   }
--- a/packages/coordination/src/peer-exchange.ts
+++ b/packages/coordination/src/peer-exchange.ts
@@ -21,6 +21,14 @@
   return link;
 }
 
+/**
+ * Whether an error shows that a host cannot be reached. A slow reply does not:
+ * a host that is busy must not lose all its calls for the suspicion time.
+ */
+export function showsUnreachable(error: unknown): boolean {
+  return error instanceof runtime.ConnectionError;
+}
+
 /** Sends one control request to a host. Throws as `connectToHost` does. */
 export async function requestOfHost(
   peers: transport.PeerDirectory,
