--- a/packages/command-line/src/demo/observations.ts
+++ b/packages/command-line/src/demo/observations.ts
@@ -45,6 +45,22 @@
     }
   }
 
+  /**
+   * Time in milliseconds from `sinceMs` until completions reach `perSecond`;
+   * null when they do not. Two bins are averaged, because arrivals are random.
+   */
+  recoveryMs(sinceMs: number, perSecond: number): number | null {
+    const firstBin = Math.ceil((sinceMs - this.startMs) / BIN_MS);
+    const wanted = (perSecond * BIN_MS) / 1_000;
+    // The last bin of a phase is not full.
+    for (let bin = firstBin; bin < this.bins.length - 2; bin++) {
+      const pair = this.bins[bin].completed + this.bins[bin + 1].completed;
+      if (pair / 2 < wanted) continue;
+      return Math.round(Math.max(0, this.startMs + bin * BIN_MS - sinceMs));
+    }
+    return null;
+  }
+
   private binAt(nowMs: number): Bin {
     const index = Math.floor((nowMs - this.startMs) / BIN_MS);
     while (this.bins.length <= index) {
--- a/packages/command-line/src/demo/report.ts
+++ b/packages/command-line/src/demo/report.ts
@@ -14,6 +14,22 @@
       otherOutcomes(phase.outcomes),
     ]),
   ]);
+  const measures = output.formatTable([
+    [
+      'phase',
+      'completed',
+      'worst organisation',
+      'of the mean',
+      'refused within rate',
+    ],
+    ...report.measures.map(measure => [
+      measure.phase,
+      percent(measure.completedPart),
+      measure.worstOrganisation,
+      percent(measure.worstOrganisationPart),
+      percent(measure.refusedWithinRate),
+    ]),
+  ]);
   const checks = output.formatTable([
     ['check', 'verdict', 'seen'],
     ...report.checks.map(check => [
@@ -22,7 +38,11 @@
       check.seen,
     ]),
   ]);
-  return `deployment ${report.deployment}, seed ${report.seed}\n\n${phases}\n${checks}`;
+  return `deployment ${report.deployment}, seed ${report.seed}\n\n${phases}\n${measures}\n${checks}`;
+}
+
+function percent(part: number): string {
+  return `${(100 * part).toFixed(2)}%`;
 }
 
 function otherOutcomes(outcomes: Readonly<Record<string, number>>): string {
--- a/packages/command-line/src/demo/scenario.ts
+++ b/packages/command-line/src/demo/scenario.ts
@@ -5,6 +5,7 @@
 import type * as deployments from './deployments.js';
 import type * as fleets from './fleet.js';
 import * as observations from './observations.js';
+import * as measures from './measures.js';
 import type * as processSet from './process-set.js';
 import * as requests from './requests.js';
 
@@ -25,6 +26,8 @@
   readonly p50Ms: number;
   readonly p99Ms: number;
   readonly outcomes: Readonly<Record<string, number>>;
+  /** Outcomes of each organisation, with `requests` and `repeats`. */
+  readonly perOrganisation: measures.CountsByName;
 }
 
 export interface DemoReport {
@@ -32,6 +35,7 @@
   readonly seed: number;
   readonly phases: readonly PhaseResult[];
   readonly checks: readonly checks.DemoCheck[];
+  readonly measures: readonly measures.Measure[];
   readonly observations: observations.Observations;
 }
 
@@ -79,6 +83,7 @@
       seed: this.seed,
       phases: this.phases,
       checks: this.verdicts,
+      measures: measures.measure(this.phases),
       observations: this.seen,
     };
   }
@@ -97,7 +102,7 @@
     const healedMs = this.clock.monotonicMs();
     await this.runPhase({name: `${slowService} healed`, seconds: 4, load: 1});
     const normal = this.phases[0].completedPerSecond;
-    const recovered = this.recoveryMs(healedMs, 0.9 * normal);
+    const recovered = this.seen.recoveryMs(healedMs, 0.9 * normal);
     this.verdicts.push({
       name: 'goodput is back within 2 s after the cause ended',
       passed: recovered !== null && recovered <= 2 * SECONDS,
@@ -268,6 +273,7 @@
       p50Ms: latency.p50,
       p99Ms: latency.p99,
       outcomes: results.outcomes,
+      perOrganisation: results.perOrganisation,
     };
     this.phases.push(result);
     return result;
@@ -301,21 +307,4 @@
     });
     return generator.run();
   }
-
-  /** Time from `sinceMs` until completions reach `perSecond` and stay. */
-  private recoveryMs(sinceMs: number, perSecond: number): number | null {
-    const startMs = this.seen.startMs;
-    const firstBin = Math.ceil((sinceMs - startMs) / observations.BIN_MS);
-    // The last bin of a phase is not full.
-    const lastBin = this.seen.bins.length - 2;
-    const wanted = (perSecond * observations.BIN_MS) / SECONDS;
-    // Two bins are averaged, because arrivals are random.
-    for (let bin = firstBin; bin < lastBin; bin++) {
-      const pair =
-        this.seen.bins[bin].completed + this.seen.bins[bin + 1].completed;
-      if (pair / 2 < wanted) continue;
-      return Math.max(0, startMs + bin * observations.BIN_MS - sinceMs);
-    }
-    return null;
-  }
 }
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -4,16 +4,13 @@
 import type * as protocol from '@camphorwharf/protocol';
 import * as runtime from '@camphorwharf/runtime';
 import * as transport from '@camphorwharf/transport';
-import * as backendServerCall from './backend-server-call.js';
-import * as callRouter from './call-router.js';
-import * as callerPath from './caller-path.js';
+import * as callPaths from './call-paths.js';
+import type * as callerPath from './caller-path.js';
 import * as daemonParts from './daemon-parts.js';
-import type * as daemonStatus from './daemon-status.js';
-import * as entryPath from './entry-path.js';
-import * as handles from './handles.js';
+import * as daemonStatus from './daemon-status.js';
 import * as healthTask from './health-task.js';
 import type * as settingsFile from './settings.js';
-import * as targetPath from './target-path.js';
+import type * as targetPath from './target-path.js';
 
 /**
  * Time for which a stopping daemon still serves callers, with answers that
@@ -31,7 +28,6 @@
   private readonly identity: daemonParts.DaemonIdentity;
   private readonly metrics = new runtime.Metrics();
   private readonly register = new ownership.CallRegister();
-  private readonly running: handles.RunningCalls;
   private readonly tasks = new AbortController();
   private readonly peers: transport.PeerPool;
   private readonly listener: transport.PeerListener;
@@ -60,7 +56,6 @@
       self: daemonParts.selfEntry(settings),
       incarnation: runtime.randomIdentifier(random, 8),
     };
-    this.running = new handles.RunningCalls(random);
     const common = {clock, logger, metrics: this.metrics};
     const peerOptions: transport.PeerOptions = {
       ...common,
@@ -115,8 +110,20 @@
       startedCalls: this.register,
       status: () => ({...this.status()}),
     });
-    this.target = this.createTargetPath();
-    this.callerPath = this.createCallerPath();
+    const paths = callPaths.createCallPaths({
+      service: settings.service,
+      environment,
+      metrics: this.metrics,
+      peers: this.peers,
+      coordination: this.parts,
+      load: this.load,
+      register: this.register,
+      backendServer: this.backendServer,
+      weightOf: organisation => this.weightOf(organisation),
+      closedReason: () => this.targetClosedReason(),
+    });
+    this.target = paths.target;
+    this.callerPath = paths.caller;
     this.departure = this.createDeparture();
     this.callers = new transport.CallerServer({
       ...common,
@@ -228,52 +235,6 @@
     }
   }
 
-  private createTargetPath(): targetPath.TargetPath {
-    const {clock} = this.environment;
-    return new targetPath.TargetPath({
-      clock,
-      service: this.settings.service,
-      admission: this.load.admission,
-      register: this.register,
-      backendServer: new backendServerCall.BackendServerCaller({
-        clock,
-        client: this.backendServer,
-        running: this.running,
-      }),
-      weightOf: organisation => this.weightOf(organisation),
-      closedReason: () => this.targetClosedReason(),
-    });
-  }
-
-  private createCallerPath(): callerPath.CallerPath {
-    const {clock, random} = this.environment;
-    const {metrics, running} = this;
-    const router = new callRouter.CallRouter({
-      clock,
-      metrics,
-      peers: this.peers,
-      targets: this.load.targets,
-      thresholds: this.load.thresholds,
-      onLeaving: ({hostId, incarnation}) =>
-        this.parts.directory.noteLeaving(
-          hostId,
-          incarnation,
-          'refusal',
-          clock.monotonicMs(),
-        ),
-    });
-    const entry = new entryPath.EntryPath({
-      clock,
-      random,
-      routes: () => this.parts.store.current?.index ?? null,
-      limits: this.parts.limits,
-      keys: this.parts.keys,
-      router,
-      running,
-    });
-    return new callerPath.CallerPath({clock, metrics, entry});
-  }
-
   private createDeparture(): coordination.DepartureTask {
     const {clock, logger} = this.environment;
     return new coordination.DepartureTask({
@@ -337,37 +298,17 @@
   }
 
   private status(): daemonStatus.DaemonStatus {
-    const {store, directory, cell} = this.parts;
-    const {controller} = this.load;
-    const nowMs = this.environment.clock.monotonicMs();
-    const membership = cell.membership;
-    const view = membership?.adopted ?? null;
-    const policy = store.current?.index.servicePolicy(this.settings.service);
-    return {
-      hostId: this.settings.host_id,
-      incarnation: this.identity.incarnation,
-      service: this.settings.service,
-      availabilityZone: this.settings.availability_zone,
-      revision: store.current?.revision ?? null,
-      digest: store.current?.digest ?? null,
-      hostListRevision: directory.hostList.revision,
-      cell: membership?.cell ?? null,
-      view: membership &&
-        view && {
-          ...view.identity,
-          members: view.members.length,
-          active: membership.createPing(nowMs).active,
-        },
-      limits: {
-        concurrency: controller.concurrencyLimit,
-        queue: policy?.maximumQueue ?? 0,
+    return daemonStatus.reportStatus(
+      {
+        settings: this.settings,
+        incarnation: this.identity.incarnation,
+        coordination: this.parts,
+        controller: this.load.controller,
+        callerCalls: this.callerPath.running,
+        backendServer: this.health.health,
+        stopping: this.stopping,
       },
-      sheddingThreshold: controller.threshold(nowMs),
-      inFlight: controller.inFlight,
-      waiting: controller.waiting,
-      callerCalls: this.callerPath.running,
-      backendServer: this.health.health,
-      leaving: this.stopping || this.health.health === 'leaving',
-    };
+      this.environment.clock.monotonicMs(),
+    );
   }
 }
--- a/packages/ownership/src/host-contacts.ts
+++ b/packages/ownership/src/host-contacts.ts
@@ -65,8 +65,9 @@
   /** Only a member that leaves proposes a view without itself (V9). */
   noteProposer(view: protocol.View): void {
     for (const [hostId, contact] of this.contacts) {
-      if (views.memberKey(contact.identity) !== view.identity.proposer)
+      if (views.memberKey(contact.identity) !== view.identity.proposer) {
         continue;
+      }
       if (views.includes(view, contact.identity)) continue;
       this.contacts.set(hostId, {...contact, leaving: true});
     }
--- a/packages/transport/src/caller-server.ts
+++ b/packages/transport/src/caller-server.ts
@@ -115,8 +115,9 @@
     response.on('finish', () => {
       this.busy.delete(socket);
       // Connections that became idle during the stop are closed as well.
-      if (!this.server.listening)
+      if (!this.server.listening) {
         setImmediate(() => this.server.closeIdleConnections());
+      }
     });
     const call = new callerCall.HttpCallerCall(
       request,
