Lower the limit only on a probe; let a burst wait 500 ms

A slower service looks like a queue behind the slots, and the limit fell on it for seconds. Calls of an organisation within its share were refused after ten service times. A load report that always says full held the limit for good; it now only slows growth. A floor at half of the highest recent limit changed nothing and was dropped.

--- a/packages/admission/src/concurrency-limit.ts
+++ b/packages/admission/src/concurrency-limit.ts
@@ -9,12 +9,14 @@
 /** Part of the service time spent behind the slots up to which it grows. */
 const FREE_WAIT = 0.12;
 
-/** Part above which the limit falls, and the part that it then aims at. */
-const TOLERATED_WAIT = 0.3;
-const WANTED_WAIT = 0.17;
+/**
+ * Part above which the limit is lowered for a probe. A slower service looks
+ * the same as a queue, so the limit falls only if the probe shows a queue.
+ */
+const SUSPECT_WAIT = 0.3;
 
-/** A rise this large may be a slower service as well as a queue: measure. */
-const SUSPECT_WAIT = 0.45;
+/** The part that the limit aims at when it falls. */
+const WANTED_WAIT = 0.17;
 
 /** Growth of the first window and the most that a series of them reaches. */
 const GROWTH = 1.1;
@@ -125,7 +127,7 @@
     this.restart(nowMs);
   }
 
-  /** A full target grows no further; a report never raises the limit. */
+  /** The limit of a full target grows slowly; a report never raises it. */
   noteReportedLoad(inFlight: number, slots: number, nowMs: number): void {
     if (slots > 0 && inFlight >= slots) {
       this.reportedFullUntilMs = nowMs + REPORT_LIFETIME_MS;
@@ -163,9 +165,6 @@
     } else if (wait <= FREE_WAIT) {
       this.baselineMs += (seen.quickMs - this.baselineMs) * FREE_STEP;
       this.grow(lastGrowth, nowMs);
-    } else if (wait > TOLERATED_WAIT) {
-      this.ramping = false;
-      this.learned *= fallFor(wait);
     }
   }
 
@@ -174,12 +173,15 @@
     return (seen.quickMs - this.baselineMs) / seen.meanMs;
   }
 
-  /** Grows faster the longer nothing speaks against it. */
+  /**
+   * Grows faster the longer nothing speaks against it. A load report only
+   * slows it down, since one that always says full would stop it for good.
+   */
   private grow(lastGrowth: number, nowMs: number): void {
-    if (nowMs < this.reportedFullUntilMs && !this.ramping) return;
-    this.growth = this.ramping
-      ? LARGEST_GROWTH
-      : Math.min(LARGEST_GROWTH, lastGrowth * GROWTH);
+    const reportedFull = nowMs < this.reportedFullUntilMs;
+    if (reportedFull) this.growth = GROWTH;
+    else if (this.ramping) this.growth = LARGEST_GROWTH;
+    else this.growth = Math.min(LARGEST_GROWTH, lastGrowth * GROWTH);
     this.learned = Math.max(this.learned + 1, this.learned * this.growth);
   }
 
--- a/packages/admission/src/sojourn-control.ts
+++ b/packages/admission/src/sojourn-control.ts
@@ -9,8 +9,11 @@
 const MINIMUM_SOJOURN_MS = 20;
 const MAXIMUM_SOJOURN_MS = 500;
 
-/** A burst may wait this many times longer than a standing queue. */
-const BURST_FACTOR = 10;
+/**
+ * A burst may wait this long. At 90% of its share an organisation's queue
+ * holds its least important calls for 200 ms every few seconds.
+ */
+const BURST_SOJOURN_MS = 500;
 
 /**
  * Sojourn-time control, after CoDel, of one organisation's calls in one
@@ -48,5 +51,5 @@
     MAXIMUM_SOJOURN_MS,
     Math.max(MINIMUM_SOJOURN_MS, typicalServiceMs),
   );
-  return stands ? short : BURST_FACTOR * short;
+  return stands ? short : BURST_SOJOURN_MS;
 }
