--- a/packages/admission/src/concurrency-limit.ts
+++ b/packages/admission/src/concurrency-limit.ts
@@ -165,6 +165,10 @@
     } else if (wait <= FREE_WAIT) {
       this.baselineMs += (seen.quickMs - this.baselineMs) * FREE_STEP;
       this.grow(lastGrowth, nowMs);
+    } else {
+      // The baseline may be too low; a limit that is too low costs more than
+      // one that grows until it is probed.
+      this.learned += 1;
     }
   }
 
