Shorten the wait by the degree of excess; steady small estimates

An organisation whose estimate crossed its share by chance lost every call that had waited longer than one service time.

--- a/packages/admission/src/demand-estimate.ts
+++ b/packages/admission/src/demand-estimate.ts
@@ -11,7 +11,7 @@
  * Without them the few calls of a small organisation give a random cutoff,
  * and a low cutoff leaves even fewer calls to correct it.
  */
-const PRIOR_CALLS = 4;
+const PRIOR_CALLS = 8;
 
 /** An organisation with less than this many recent calls is forgotten. */
 const NEGLIGIBLE_CALLS = 0.01;
--- a/packages/admission/src/fair-queue.ts
+++ b/packages/admission/src/fair-queue.ts
@@ -1,13 +1,11 @@
 import * as heap from './indexed-heap.js';
+import * as shareExcess from './share-excess.js';
 import * as sojournControl from './sojourn-control.js';
 import * as waiting from './waiting-call.js';
 
 /** Idle flows that are remembered, so that the table stays bounded. */
 const MAXIMUM_IDLE_FLOWS = 512;
 
-/** Demand over fair share above which an organisation waits only briefly. */
-const EXCESS_TO_CUT = 1.2;
-
 /** The smallest weight; keeps tags finite for a rate of zero. */
 const MINIMUM_WEIGHT = 1e-6;
 
@@ -45,11 +43,11 @@
   }
 
   longestSojournMs(typicalServiceMs: number, nowMs: number): number {
-    const stands =
+    const degree =
       this.demandExcess === null
-        ? this.sojourn.stands(nowMs)
-        : this.demandExcess > EXCESS_TO_CUT;
-    return sojournControl.longestSojournMs(stands, typicalServiceMs);
+        ? Number(this.sojourn.stands(nowMs))
+        : shareExcess.cutDegree(this.demandExcess);
+    return sojournControl.longestSojournMs(degree, typicalServiceMs);
   }
 }
 
--- a/packages/admission/src/shedding-control.ts
+++ b/packages/admission/src/shedding-control.ts
@@ -1,6 +1,7 @@
 import type * as protocol from '@camphorwharf/protocol';
 import * as demandEstimate from './demand-estimate.js';
 import * as importanceQueue from './importance-queue.js';
+import * as shareExcess from './share-excess.js';
 import * as shareThreshold from './share-threshold.js';
 import * as waiting from './waiting-call.js';
 import * as waterFill from './water-fill.js';
@@ -37,15 +38,6 @@
 /** Refusals below this part of the offered calls are noise. */
 const NOISE_PART = 0.02;
 
-/**
- * An organisation is cut once its estimated demand exceeds its share by this
- * factor, and in full from the second one. Random arrivals make the estimate
- * of an organisation within its share exceed it for a moment; the fair queue
- * deals with such an excess without refusing the wrong calls.
- */
-const EXCESS_TO_CUT = 1.2;
-const EXCESS_TO_CUT_FULLY = 1.6;
-
 /** Excess of each organisation in a class that is closed. */
 const CLOSED_CLASS_EXCESS = 1_000;
 
@@ -203,9 +195,6 @@
 
 /** The part of an organisation's calls that pass at this excess. */
 function passingPart(excess: number): number {
-  if (!(excess > EXCESS_TO_CUT)) return 1;
   const full = Math.max(MINIMUM_PART, 1 / excess);
-  if (excess >= EXCESS_TO_CUT_FULLY) return full;
-  const way = (excess - EXCESS_TO_CUT) / (EXCESS_TO_CUT_FULLY - EXCESS_TO_CUT);
-  return 1 + (full - 1) * way;
+  return 1 + (full - 1) * shareExcess.cutDegree(excess);
 }
--- a/packages/admission/src/sojourn-control.ts
+++ b/packages/admission/src/sojourn-control.ts
@@ -40,16 +40,17 @@
 }
 
 /**
- * The longest sojourn time allowed. A standing queue keeps about one service
+ * The longest sojourn time allowed; `degree` is 0 for a burst and 1 for a
+ * standing queue or an organisation far above its share. A standing queue keeps about one service
  * time of work, so that a slow service does not run dry.
  */
 export function longestSojournMs(
-  stands: boolean,
+  degree: number,
   typicalServiceMs: number,
 ): number {
   const short = Math.min(
     MAXIMUM_SOJOURN_MS,
     Math.max(MINIMUM_SOJOURN_MS, typicalServiceMs),
   );
-  return stands ? short : BURST_SOJOURN_MS;
+  return BURST_SOJOURN_MS + (short - BURST_SOJOURN_MS) * degree;
 }
