Send changes of documents and host lists as deltas

Peers that hold the previous revision get a delta, verified by the digest of the published text; everything else is sent in full.

--- a/packages/coordination/src/compression.ts
+++ b/packages/coordination/src/compression.ts
@@ -18,21 +18,11 @@
 /** Bound of what a received text may expand to. */
 const MAXIMUM_TEXT_BYTES = 8 * 1_048_576;
 
-/** Compresses the text last asked for and keeps the result. */
-export class TextCompressor {
-  private text: string | null = null;
-  private result: Promise<Uint8Array> | null = null;
-
-  compress(text: string): Promise<Uint8Array> {
-    if (!this.result || this.text !== text) {
-      this.text = text;
-      this.result =
-        text.length <= SYNCHRONOUS_LIMIT_BYTES
-          ? Promise.resolve(zlib.deflateRawSync(text))
-          : deflate(text);
-    }
-    return this.result;
-  }
+/** Compresses a text. */
+export async function compress(text: string): Promise<Uint8Array> {
+  return text.length <= SYNCHRONOUS_LIMIT_BYTES
+    ? zlib.deflateRawSync(text)
+    : deflate(text);
 }
 
 /** Throws when the bytes are damaged or expand beyond the bound. */
--- /dev/null
+++ b/packages/coordination/src/configuration-answers.ts
@@ -0,0 +1,222 @@
+import type * as declaration from '@camphorwharf/declaration';
+import * as runtime from '@camphorwharf/runtime';
+import * as compression from './compression.js';
+import * as configurationDelta from './configuration-delta.js';
+import type * as configurationStore from './configuration-store.js';
+import type * as hostDirectory from './host-directory.js';
+import type * as extensions from './message-extensions.js';
+
+/** Earlier documents and lists kept as bases of deltas. */
+const BASE_LIMIT = 4;
+
+interface DocumentBase {
+  readonly digest: string;
+  readonly document: declaration.PublishedDocument;
+}
+
+export interface ConfigurationAnswersOptions {
+  readonly store: configurationStore.ConfigurationAccess;
+  readonly directory: hostDirectory.HostDirectory;
+  readonly clock: runtime.Clock;
+  readonly metrics: runtime.Metrics;
+}
+
+/** Keeps the last result: relay peers ask for the same one at one time. */
+class LastResult<T> {
+  private key: string | null = null;
+  private result: Promise<T> | null = null;
+
+  get(key: string, create: () => Promise<T>): Promise<T> {
+    if (!this.result || this.key !== key) {
+      this.key = key;
+      this.result = create();
+    }
+    return this.result;
+  }
+}
+
+/** Writes and reads answers that carry a newer document or host list. */
+export class ConfigurationAnswers {
+  private readonly documentTexts = new LastResult<Uint8Array>();
+  private readonly listTexts = new LastResult<Uint8Array>();
+  private readonly documentDeltas = new LastResult<Uint8Array>();
+  private readonly listDeltas = new LastResult<Uint8Array>();
+  private documents: readonly DocumentBase[] = [];
+  private lists: readonly declaration.HostList[] = [];
+  /** Set when a delta could not be applied; asks for everything in full. */
+  private wantsWhole = false;
+
+  constructor(private readonly options: ConfigurationAnswersOptions) {
+    const {store, directory} = options;
+    store.onAdopted(() => {
+      const current = store.current;
+      if (!current) return;
+      const {digest, document} = current;
+      this.documents = [{digest, document}, ...this.documents].slice(
+        0,
+        BASE_LIMIT,
+      );
+    });
+    directory.onList(() => {
+      this.lists = [directory.hostList, ...this.lists].slice(0, BASE_LIMIT);
+    });
+  }
+
+  createDigest(): extensions.ConfigurationDigestWithHosts {
+    const {store, directory} = this.options;
+    return {
+      kind: 'configurationDigest',
+      revision: store.revision,
+      digest: store.digest,
+      hostListRevision: directory.hostList.revision,
+      ...(this.wantsWhole && {wantsWhole: true}),
+    };
+  }
+
+  async createAnswer(
+    message: extensions.ConfigurationDigestWithHosts,
+  ): Promise<extensions.ConfigurationAnswerWithHosts> {
+    const {store, directory} = this.options;
+    return {
+      kind: 'configurationAnswer',
+      revision: store.revision,
+      digest: store.digest,
+      document: null,
+      ...(await this.newerDocument(message)),
+      hostListRevision: directory.hostList.revision,
+      ...(await this.newerList(message)),
+    };
+  }
+
+  /** Takes what is newer. Throws when the answer is damaged. */
+  async takeAnswer(
+    answer: extensions.ConfigurationAnswerWithHosts,
+  ): Promise<void> {
+    const {store, directory, clock, metrics} = this.options;
+    const text = await this.readDocument(answer);
+    if (text !== null) {
+      store.offer(answer.revision, text, clock.monotonicMs());
+    } else if (
+      answer.revision === store.revision &&
+      answer.digest !== store.digest
+    ) {
+      metrics.count(
+        'configuration_conflicts_total',
+        'Peers seen with another document under the same revision',
+      );
+    }
+    const list = await this.readList(answer);
+    if (list) directory.offerList(list, clock.monotonicMs());
+  }
+
+  private async newerDocument(
+    message: extensions.ConfigurationDigestWithHosts,
+  ): Promise<Partial<extensions.ConfigurationAnswerWithHosts>> {
+    const current = this.options.store.current;
+    if (!current || current.revision <= message.revision) return {};
+    const {text} = current;
+    if (text.length <= compression.COMPRESSION_THRESHOLD) {
+      return {document: text};
+    }
+    const base = this.documents.find(({digest}) => digest === message.digest);
+    if (base && !message.wantsWhole) {
+      const documentDelta = await this.documentDeltas.get(
+        `${base.digest}|${current.digest}`,
+        () =>
+          compression.compress(
+            JSON.stringify(
+              configurationDelta.createDocumentDelta(
+                base.document,
+                base.digest,
+                current.document,
+              ),
+            ),
+          ),
+      );
+      return {documentDelta};
+    }
+    const compressedDocument = await this.documentTexts.get(
+      current.digest,
+      () => compression.compress(text),
+    );
+    return {compressedDocument};
+  }
+
+  private async newerList(
+    message: extensions.ConfigurationDigestWithHosts,
+  ): Promise<extensions.HostListOffer> {
+    const {hostListRevision} = message;
+    const list = this.options.directory.hostList;
+    if (hostListRevision === undefined || list.revision <= hostListRevision) {
+      return {};
+    }
+    const base = this.lists.find(({revision}) => revision === hostListRevision);
+    if (base && !message.wantsWhole) {
+      const hostListDelta = await this.listDeltas.get(
+        `${base.revision}|${list.revision}`,
+        () =>
+          compression.compress(
+            JSON.stringify(configurationDelta.createHostListDelta(base, list)),
+          ),
+      );
+      return {hostListDelta};
+    }
+    const hostList = await this.listTexts.get(`${list.revision}`, () =>
+      compression.compress(JSON.stringify(list)),
+    );
+    return {hostList};
+  }
+
+  private async readDocument(
+    answer: extensions.ConfigurationAnswerWithHosts,
+  ): Promise<string | null> {
+    if (answer.compressedDocument) {
+      this.wantsWhole = false;
+      return compression.decompress(answer.compressedDocument);
+    }
+    if (!answer.documentDelta) return answer.document;
+    const delta = JSON.parse(
+      await compression.decompress(answer.documentDelta),
+    ) as configurationDelta.DocumentDelta;
+    const current = this.options.store.current;
+    if (current && current.revision >= delta.revision) return null;
+    if (current?.digest === delta.baseDigest) {
+      const text = configurationDelta.applyDocumentDelta(
+        current.document,
+        delta,
+      );
+      if (runtime.sha256Hex(text) === answer.digest) return text;
+    }
+    this.noteUnusable('document');
+    return null;
+  }
+
+  private async readList(
+    answer: extensions.ConfigurationAnswerWithHosts,
+  ): Promise<declaration.HostList | null> {
+    if (answer.hostList) {
+      this.wantsWhole = false;
+      return JSON.parse(
+        await compression.decompress(answer.hostList),
+      ) as declaration.HostList;
+    }
+    if (!answer.hostListDelta) return null;
+    const delta = JSON.parse(
+      await compression.decompress(answer.hostListDelta),
+    ) as configurationDelta.HostListDelta;
+    const current = this.options.directory.hostList;
+    if (current.revision >= delta.revision) return null;
+    const list = configurationDelta.applyHostListDelta(current, delta);
+    if (!list) this.noteUnusable('hostList');
+    return list;
+  }
+
+  private noteUnusable(subject: 'document' | 'hostList'): void {
+    this.wantsWhole = true;
+    this.options.metrics.count(
+      'configuration_deltas_unusable_total',
+      'Deltas that could not be applied, so that everything is asked for',
+      {subject},
+    );
+  }
+}
--- /dev/null
+++ b/packages/coordination/src/configuration-delta.ts
@@ -0,0 +1,120 @@
+import * as declaration from '@camphorwharf/declaration';
+import * as runtime from '@camphorwharf/runtime';
+import * as keyedDelta from './keyed-delta.js';
+
+const SECTIONS = [
+  'regions',
+  'services',
+  'routes',
+  'organisations',
+  'policies',
+] as const;
+
+interface Named {
+  readonly name: string;
+}
+
+/** What turns one published document into a later one. */
+export interface DocumentDelta {
+  readonly baseDigest: string;
+  readonly revision: number;
+  readonly sections: Readonly<
+    Record<(typeof SECTIONS)[number], keyedDelta.KeyedDelta<Named>>
+  >;
+}
+
+/** What turns one host list into a later one. */
+export interface HostListDelta {
+  readonly baseDigest: string;
+  readonly revision: number;
+  readonly hosts: keyedDelta.KeyedDelta<declaration.HostEntry>;
+}
+
+const nameOf = ({name}: Named) => name;
+const hostIdOf = ({hostId}: declaration.HostEntry) => hostId;
+
+export function createDocumentDelta(
+  base: declaration.PublishedDocument,
+  baseDigest: string,
+  current: declaration.PublishedDocument,
+): DocumentDelta {
+  const sections = Object.fromEntries(
+    SECTIONS.map(section => [
+      section,
+      keyedDelta.createDelta<Named>(base[section], current[section], nameOf),
+    ]),
+  ) as DocumentDelta['sections'];
+  return {baseDigest, revision: current.revision, sections};
+}
+
+/**
+ * Returns the text of the later document in its canonical form. Its digest has
+ * to be compared with the published one: a text that was published in another
+ * form cannot be restored.
+ */
+export function applyDocumentDelta(
+  base: declaration.PublishedDocument,
+  delta: DocumentDelta,
+): string {
+  const sections = Object.fromEntries(
+    SECTIONS.map(section => [
+      section,
+      keyedDelta.applyDelta<Named>(
+        base[section],
+        delta.sections[section],
+        nameOf,
+      ),
+    ]),
+  );
+  return declaration.serializeDocument({
+    ...base,
+    ...sections,
+    revision: delta.revision,
+  });
+}
+
+export function createHostListDelta(
+  base: declaration.HostList,
+  current: declaration.HostList,
+): HostListDelta {
+  return {
+    baseDigest: hostListDigest(base),
+    revision: current.revision,
+    hosts: keyedDelta.createDelta(base.hosts, current.hosts, hostIdOf),
+  };
+}
+
+/** Returns null when the delta was made for another list. */
+export function applyHostListDelta(
+  base: declaration.HostList,
+  delta: HostListDelta,
+): declaration.HostList | null {
+  if (hostListDigest(base) !== delta.baseDigest) return null;
+  const hosts = keyedDelta.applyDelta(base.hosts, delta.hosts, hostIdOf);
+  return {revision: delta.revision, hosts};
+}
+
+/** Lists are immutable, so each is digested once. */
+const listDigests = new WeakMap<declaration.HostList, string>();
+
+/** Covers all entries whatever their order and the order of their fields. */
+function hostListDigest(list: declaration.HostList): string {
+  let digest = listDigests.get(list);
+  if (digest === undefined) {
+    const lines = list.hosts.map(host =>
+      JSON.stringify([
+        host.hostId,
+        host.address,
+        host.peerPort,
+        host.callerPort,
+        host.service,
+        host.region,
+        host.availabilityZone,
+        host.state,
+      ]),
+    );
+    digest = runtime.sha256Hex(lines.sort().join('\n'));
+    listDigests.set(list, digest);
+  }
+  return digest;
+}
--- a/packages/coordination/src/configuration-task.ts
+++ b/packages/coordination/src/configuration-task.ts
@@ -3,6 +3,7 @@
 import * as runtime from '@camphorwharf/runtime';
 import type * as transport from '@camphorwharf/transport';
 import * as compression from './compression.js';
+import * as configurationAnswers from './configuration-answers.js';
 import type * as configurationStore from './configuration-store.js';
 import type * as hostDirectory from './host-directory.js';
 import type * as extensions from './message-extensions.js';
@@ -48,8 +49,7 @@
 /** Keeps document and host list equal to the newest that peers have. */
 export class ConfigurationTask {
   private readonly watch: platformWatch.PlatformWatch;
-  private readonly documentCompressor = new compression.TextCompressor();
-  private readonly listCompressor = new compression.TextCompressor();
+  private readonly answers: configurationAnswers.ConfigurationAnswers;
   private relays: readonly declaration.HostEntry[] = [];
   private relaysStale = true;
   private randomPeer: declaration.HostEntry | null = null;
@@ -61,6 +61,7 @@
 
   constructor(private readonly options: ConfigurationTaskOptions) {
     this.lastPeerAnswerMs = options.clock.monotonicMs();
+    this.answers = new configurationAnswers.ConfigurationAnswers(options);
     this.watch = new platformWatch.PlatformWatch({
       ...options,
       role: nowMs => this.role(nowMs),
@@ -101,7 +102,7 @@
     ) {
       void this.pullFrom(link);
     }
-    return this.createAnswer(message);
+    return this.answers.createAnswer(message);
   }
 
   async answerPush(
@@ -117,44 +118,6 @@
     };
   }
 
-  private async createAnswer(
-    message: extensions.ConfigurationDigestWithHosts,
-  ): Promise<extensions.ConfigurationAnswerWithHosts> {
-    const {store, directory} = this.options;
-    const current = store.current;
-    const list = directory.hostList;
-    const newerDocument =
-      current && current.revision > message.revision ? current.text : null;
-    const isLarge =
-      newerDocument !== null &&
-      newerDocument.length > compression.COMPRESSION_THRESHOLD;
-    return {
-      kind: 'configurationAnswer',
-      revision: current?.revision ?? 0,
-      digest: current?.digest ?? '',
-      document: isLarge ? null : newerDocument,
-      ...(isLarge && {
-        compressedDocument:
-          await this.documentCompressor.compress(newerDocument),
-      }),
-      hostListRevision: list.revision,
-      ...(message.hostListRevision !== undefined &&
-        list.revision > message.hostListRevision && {
-          hostList: await this.listCompressor.compress(JSON.stringify(list)),
-        }),
-    };
-  }
-
-  private createDigest(): extensions.ConfigurationDigestWithHosts {
-    const {store, directory} = this.options;
-    return {
-      kind: 'configurationDigest',
-      revision: store.revision,
-      digest: store.digest,
-      hostListRevision: directory.hostList.revision,
-    };
-  }
-
   /** Exchanges with the relay peers each second and after each adoption. */
   private async exchangeLoop(signal: AbortSignal): Promise<void> {
     const {clock, random, store} = this.options;
@@ -251,35 +214,13 @@
   }
 
   private async ask(link: transport.PeerLink): Promise<void> {
-    const reply = await link.request(this.createDigest(), EXCHANGE_TIMEOUT_MS);
-    if (reply.kind === 'configurationAnswer') await this.takeAnswer(reply);
-  }
-
-  private async takeAnswer(
-    answer: extensions.ConfigurationAnswerWithHosts,
-  ): Promise<void> {
-    const {store, directory, clock} = this.options;
-    this.lastPeerAnswerMs = clock.monotonicMs();
-    const text = answer.compressedDocument
-      ? await compression.decompress(answer.compressedDocument)
-      : answer.document;
-    if (text !== null) {
-      store.offer(answer.revision, text, clock.monotonicMs());
-    } else if (
-      answer.revision === store.revision &&
-      answer.digest !== store.digest
-    ) {
-      this.options.metrics.count(
-        'configuration_conflicts_total',
-        'Peers seen with another document under the same revision',
-      );
-    }
-    if (answer.hostList && (answer.hostListRevision ?? 0) > 0) {
-      const list = JSON.parse(
-        await compression.decompress(answer.hostList),
-      ) as declaration.HostList;
-      directory.offerList(list, clock.monotonicMs());
-    }
+    const reply = await link.request(
+      this.answers.createDigest(),
+      EXCHANGE_TIMEOUT_MS,
+    );
+    if (reply.kind !== 'configurationAnswer') return;
+    this.lastPeerAnswerMs = this.options.clock.monotonicMs();
+    await this.answers.takeAnswer(reply);
   }
 
   private refreshRelays(nowMs: number): void {
--- /dev/null
+++ b/packages/coordination/src/keyed-delta.ts
@@ -0,0 +1,42 @@
+/** The difference between two lists of items with unique keys. */
+export interface KeyedDelta<T> {
+  /** Items that are new or have changed. */
+  readonly put: readonly T[];
+  /** Keys of the items that are gone. */
+  readonly removed: readonly string[];
+}
+
+/** Returns what turns `from` into `to`, apart from the order. */
+export function createDelta<T>(
+  from: readonly T[],
+  to: readonly T[],
+  keyOf: (item: T) => string,
+): KeyedDelta<T> {
+  const known = new Map(from.map(item => [keyOf(item), item] as const));
+  const put = to.filter(item => {
+    const key = keyOf(item);
+    const earlier = known.get(key);
+    known.delete(key);
+    return !earlier || !isSame(earlier, item);
+  });
+  return {put, removed: [...known.keys()]};
+}
+
+/** Items taken over from the base are the same objects, which saves work. */
+function isSame(left: unknown, right: unknown): boolean {
+  return left === right || JSON.stringify(left) === JSON.stringify(right);
+}
+
+/** Applies a delta; the result is ordered by key. */
+export function applyDelta<T>(
+  base: readonly T[],
+  delta: KeyedDelta<T>,
+  keyOf: (item: T) => string,
+): T[] {
+  const items = new Map(base.map(item => [keyOf(item), item] as const));
+  for (const key of delta.removed) items.delete(key);
+  for (const item of delta.put) items.set(keyOf(item), item);
+  return [...items.values()].sort((left, right) =>
+    keyOf(left) < keyOf(right) ? -1 : 1,
+  );
+}
--- a/packages/coordination/src/message-extensions.ts
+++ b/packages/coordination/src/message-extensions.ts
@@ -28,15 +28,22 @@
 /** What a daemon says about its host list along with its document. */
 export interface HostListOffer {
   readonly hostListRevision?: number;
-  /** Present when the answering daemon has a newer list; see `compression`. */
+  /** A newer list, compressed; see `compression`. */
   readonly hostList?: Uint8Array;
+  /** A compressed `HostListDelta`, in place of `hostList`. */
+  readonly hostListDelta?: Uint8Array;
 }
 
 export interface ConfigurationDigestWithHosts
-  extends protocol.ConfigurationDigest, HostListOffer {}
+  extends protocol.ConfigurationDigest, HostListOffer {
+  /** The sender could not apply a delta. */
+  readonly wantsWhole?: boolean;
+}
 
 export interface ConfigurationAnswerWithHosts
   extends protocol.ConfigurationAnswer, HostListOffer {
   /** Takes the place of `document` when that is large. */
   readonly compressedDocument?: Uint8Array;
+  /** A compressed `DocumentDelta`, in place of `compressedDocument`. */
+  readonly documentDelta?: Uint8Array;
 }
