--- /dev/null
+++ b/packages/model-check/src/settings.ts
@@ -0,0 +1,52 @@
+import * as ownership from '@camphorwharf/ownership';
+import type * as protocol from '@camphorwharf/protocol';
+
+export const STEP_MS = 500;
+export const ORGANISATION = 'o';
+export const CELL = 'c';
+/** The burst exceeds what the rate gives during a takeover fence. */
+export const LIMITS = {ratePerSecond: 2, burst: 16};
+export const WALL_START_MS = 1_700_000_000_000;
+
+/** Of three daemons each owns one of the shards. */
+export const BUCKET_SHARD = 'bucket:o';
+export const KEY_SHARD = 'key:5';
+export const SHARDS = [BUCKET_SHARD, KEY_SHARD, 'key:4'];
+
+/** Time after which a daemon gives a request up. */
+export const REQUEST_TIMEOUT_MS = 1_000;
+
+/**
+ * Creates the objects under test. Mutations replace some of them by faulty
+ * ones; the product classes have no code for it.
+ */
+export interface Factory {
+  member(
+    identity: protocol.MemberIdentity,
+    startedMs: number,
+  ): ownership.CellMember;
+  buckets(): ownership.BucketTable;
+  grant(holder: protocol.MemberIdentity): ownership.GrantHolder;
+  keys(): ownership.KeyTable;
+  calls(): ownership.StartedCalls;
+  /** Whether a daemon with revision `current` takes the offered one. */
+  adoptsRevision(current: number, offered: number): boolean;
+  /** Whether a target starts a call that was sent at `sentMs`. */
+  acceptsCall(sentMs: number, nowMs: number): boolean;
+  /** How long a holder believes that its grants last. */
+  readonly grantLifetimeMs: number;
+}
+
+export const PRODUCT: Factory = {
+  member: (identity, startedMs) =>
+    new ownership.CellMember({cell: CELL, identity, startedMs}),
+  buckets: () => new ownership.Buckets(),
+  grant: holder =>
+    new ownership.PrepaidGrant({organisation: ORGANISATION, holder}),
+  grantLifetimeMs: ownership.GRANT_LIFETIME_MS,
+  keys: () => new ownership.KeyRecords(),
+  calls: () => new ownership.CallRegister(),
+  adoptsRevision: (current, offered) => offered > current,
+  acceptsCall: (sentMs, nowMs) =>
+    nowMs - sentMs < ownership.PERMISSION_LIFETIME_MS,
+};
--- a/packages/ownership/src/view-state.ts
+++ b/packages/ownership/src/view-state.ts
@@ -194,12 +194,14 @@
   evaluate(nowMs: number): void {
     const view = this.view;
     if (!view) return;
-    this.observeKnown(nowMs);
-    this.history.settle(
-      view,
-      hostIds => this.isBound(view, hostIds, nowMs),
-      nowMs,
-    );
+    if (this.history.size > 1) {
+      this.observeKnown(nowMs);
+      this.history.settle(
+        view,
+        hostIds => this.isBound(view, hostIds, nowMs),
+        nowMs,
+      );
+    }
     if (!views.includes(view, this.identity)) return;
     if (this.activatedMs !== null || this.stopped) return;
     const inContact = this.contactUntilMs(view, nowMs) > nowMs;
