Let the model's callers be ahead by what the product accepts

The model created keys 4.5 s ahead of the clock; since keys may be ahead by 1 s only, every claim was refused and four mutations went unnoticed. The bound now follows the product's constant.

--- a/packages/model-check/src/properties.ts
+++ b/packages/model-check/src/properties.ts
@@ -3,6 +3,9 @@
 import type * as callClient from './call-client.js';
 import * as settings from './settings.js';
 
+/** The caller's clock is ahead by nearly as much as is accepted. */
+const KEY_AHEAD_MS = ownership.KEY_FUTURE_LIMIT_MS - 100;
+
 const EPSILON = 1e-6;
 
 /** Drift of 1% lets a bucket fill faster by as much on its owner's clock. */
@@ -47,8 +50,7 @@
   keyOf(number: number, nowMs: number): string {
     let key = this.keys.get(number);
     if (!key) {
-      // The caller's clock is ahead by nearly as much as is accepted.
-      const createdMs = settings.WALL_START_MS + nowMs + 4_500;
+      const createdMs = settings.WALL_START_MS + nowMs + KEY_AHEAD_MS;
       key = `${createdMs}-k${number}`;
       this.keys.set(number, key);
     }
