--- a/packages/admission/src/concurrency-limit.ts
+++ b/packages/admission/src/concurrency-limit.ts
@@ -22,9 +22,9 @@
 const GROWTH = 1.1;
 const LARGEST_GROWTH = 1.5;
 
-/** Samples of one window; fewer while the limit ramps up. */
-const SAMPLES = 32;
-const RAMP_SAMPLES = 8;
+/** Samples of one window: as many as the limit, within these bounds. */
+const MINIMUM_SAMPLES = 8;
+const MAXIMUM_SAMPLES = 32;
 
 const LARGEST_FALL = 0.7;
 const OVERLOAD_FALL = 0.9;
@@ -32,8 +32,12 @@
 /** Part of the limit in force while the baseline is measured again. */
 const PROBE_PART = 0.8;
 
-/** A saturated target is measured again this often. */
+/**
+ * A saturated target is measured again this often, and more often while the
+ * baseline may be too low.
+ */
 const PROBE_EVERY_MS = 5_000;
+const PROBE_UNDECIDED_MS = 1_500;
 
 /** Parts by which one window moves the baseline. */
 const BASELINE_STEP = 0.25;
@@ -68,7 +72,7 @@
   private probedMs = Number.NEGATIVE_INFINITY;
   private overloadedUntilMs = Number.NEGATIVE_INFINITY;
   private reportedFullUntilMs = Number.NEGATIVE_INFINITY;
-  private window = new observation.ObservationWindow(0, RAMP_SAMPLES);
+  private window = new observation.ObservationWindow(0, MINIMUM_SAMPLES);
   /** Growth of the last window; 1 when it did not grow. */
   private growth = 1;
 
@@ -158,7 +162,8 @@
     if (this.baselineMs === 0) this.baselineMs = seen.quickMs;
     if (seen.quickMs < this.baselineMs) this.lowerBaseline(seen.quickMs);
     const wait = this.waitPart(seen);
-    const due = !this.ramping && nowMs - this.probedMs > PROBE_EVERY_MS;
+    const pauseMs = wait > FREE_WAIT ? PROBE_UNDECIDED_MS : PROBE_EVERY_MS;
+    const due = !this.ramping && nowMs - this.probedMs > pauseMs;
     if (due || wait > SUSPECT_WAIT) {
       this.ramping = false;
       this.probe = {limit: this.learned, seen};
@@ -166,6 +171,7 @@
       this.baselineMs += (seen.quickMs - this.baselineMs) * FREE_STEP;
       this.grow(lastGrowth, nowMs);
     } else {
+      this.ramping = false;
       // The baseline may be too low; a limit that is too low costs more than
       // one that grows until it is probed.
       this.learned += 1;
@@ -209,6 +215,8 @@
   }
 
   private measureUnsaturated(seen: observation.Observation): void {
+    // A limit that was not needed for a while says nothing about the capacity.
+    this.ramping = true;
     if (this.baselineMs === 0 || seen.quickMs < this.baselineMs) {
       this.lowerBaseline(seen.quickMs);
     } else {
@@ -227,7 +235,7 @@
   private restart(nowMs: number): void {
     this.window = new observation.ObservationWindow(
       nowMs + this.meanMs,
-      this.ramping ? RAMP_SAMPLES : SAMPLES,
+      Math.min(MAXIMUM_SAMPLES, Math.max(MINIMUM_SAMPLES, this.learned)),
     );
   }
 }
