Ask the membership once per view ping

Each received ping evaluated the view twice, which cost CPU in a cell of 33. The last answer now tells whether the sender knows the same view.

--- a/packages/coordination/src/cell-task.ts
+++ b/packages/coordination/src/cell-task.ts
@@ -50,6 +50,7 @@
   readonly pings: cellPings.CellPings;
   /** The last adopted view that was logged and made known. */
   notedView: string | null;
+  recentAnswer: protocol.ViewAnswer | null;
 }
 
 /** Requests that only an owner answers. */
@@ -114,11 +115,12 @@
     const {hostId, incarnation} = link.remote;
     const sender: protocol.MemberIdentity = {hostId, incarnation};
     cell.pings.noteIncoming(link);
-    // Without a view a ping changes nothing and shows the present state.
-    const empty = {...ping, from: sender, view: null, active: false};
-    const current = membership.answerPing(empty, nowMs);
-    const whole = exchange.restorePing(ping, sender, current);
-    const answer = whole ? membership.answerPing(whole, nowMs) : current;
+    const whole = exchange.restorePing(ping, sender, cell.recentAnswer);
+    const answer = membership.answerPing(
+      whole ?? {...ping, from: sender, view: null, active: false},
+      nowMs,
+    );
+    cell.recentAnswer = answer;
     this.noteView(cell);
     return exchange.compactAnswer(answer, ping, whole === null);
   }
@@ -245,6 +247,7 @@
       }),
       pings: new cellPings.CellPings({...options, membership, exchange}),
       notedView: null,
+      recentAnswer: null,
     };
   }
 
--- a/packages/coordination/src/view-exchange.ts
+++ b/packages/coordination/src/view-exchange.ts
@@ -51,19 +51,19 @@
   /**
    * Restores a ping; null when the sender has to send its view in full.
    *
-   * @param current the answer that this member would give now.
+   * @param recent the last answer of this member to any ping.
    */
   restorePing(
     ping: extensions.CompactViewPing,
     sender: protocol.MemberIdentity,
-    current: protocol.ViewAnswer,
+    recent: protocol.ViewAnswer | null,
   ): protocol.ViewPing | null {
     const {kind, cell, active} = ping;
     if (!ping.sameView) {
       return {kind, cell, from: sender, view: ping.view, active};
     }
-    if (ping.answerDigest !== answerDigest(current)) return null;
-    return {kind, cell, from: sender, view: current.adopted, active};
+    if (!recent || ping.answerDigest !== answerDigest(recent)) return null;
+    return {kind, cell, from: sender, view: recent.adopted, active};
   }
 
   /** Prepares an answer to a ping. */
