--- a/packages/admission/src/sojourn-control.ts
+++ b/packages/admission/src/sojourn-control.ts
@@ -9,8 +9,11 @@
 const MINIMUM_SOJOURN_MS = 20;
 const MAXIMUM_SOJOURN_MS = 500;
 
-/** A burst may wait this many times longer than a standing queue. */
-const BURST_FACTOR = 10;
+/**
+ * A burst may wait this long. At 90% of its share an organisation's queue
+ * holds its least important calls for 200 ms every few seconds.
+ */
+const BURST_SOJOURN_MS = 500;
 
 /**
  * Sojourn-time control, after CoDel, of one organisation's calls in one
@@ -37,16 +40,17 @@
 }
 
 /**
- * The longest sojourn time allowed. A standing queue keeps about one service
+ * The longest sojourn time allowed; `degree` is 0 for a burst and 1 for a
+ * standing queue or an organisation far above its share. A standing queue keeps about one service
  * time of work, so that a slow service does not run dry.
  */
 export function longestSojournMs(
-  stands: boolean,
+  degree: number,
   typicalServiceMs: number,
 ): number {
   const short = Math.min(
     MAXIMUM_SOJOURN_MS,
     Math.max(MINIMUM_SOJOURN_MS, typicalServiceMs),
   );
-  return stands ? short : BURST_FACTOR * short;
+  return BURST_SOJOURN_MS + (short - BURST_SOJOURN_MS) * degree;
 }
