--- a/packages/transport/src/backend-client.ts
+++ b/packages/transport/src/backend-client.ts
@@ -5,7 +5,7 @@
 import * as httpHeaders from './http-headers.js';
 
 const DEFAULT_CONNECTIONS = 1_024;
-const CONNECT_TIMEOUT_MS = 1_000;
+const DEFAULT_CONNECT_TIMEOUT_MS = 1_000;
 
 /** Health and load answers are short; the rest is not read. */
 const MAXIMUM_PROBE_BYTES = 64 * 1024;
@@ -30,6 +30,7 @@
   readonly port: number;
   /** The most connections to the backend server. */
   readonly connections?: number;
+  readonly connectTimeoutMs?: number;
 }
 
 /** The answer to a probe of the health or load path. */
@@ -50,7 +51,7 @@
       : options.address;
     this.origin = `http://${host}:${options.port}`;
     this.pool = new undici.Pool(this.origin, {
-      ...clientOptions(CONNECT_TIMEOUT_MS),
+      ...clientOptions(options.connectTimeoutMs ?? DEFAULT_CONNECT_TIMEOUT_MS),
       connections: options.connections ?? DEFAULT_CONNECTIONS,
     });
   }
