--- a/packages/transport/src/test/peer_flow_test.ts
+++ b/packages/transport/src/test/peer_flow_test.ts
@@ -132,8 +132,39 @@
   t.true(pair.caller.idle);
 });
 
+test('unread bodies of many calls stay within the budget', async t => {
+  const results: string[] = [];
+  let release!: () => void;
+  const released = new Promise<void>(resolve => (release = resolve));
+  const pair = await fixture.connectedPair(
+    t,
+    {
+      ...fixture.refuseAll,
+      onCall: async call => {
+        await released;
+        const reading = fixture.readAll(call.body!);
+        results.push(await reading.then(String, error => error.name));
+        call.refuse('overloaded', false, fixture.TRAILER);
+      },
+    },
+    {maximumBufferedBytes: 5},
+  );
+  const calls = ['abc', 'def', 'gh'].map(text =>
+    pair.caller.call(
+      fixture.callHead({hasBody: true}),
+      fixture.chunksOf(text),
+      fixture.callOptions(),
+    ),
+  );
+  await pair.caller.request({kind: 'status'}, 600_000);
+  release();
+  await Promise.all(calls);
+  t.deepEqual(results.sort(), ['ConnectionError', 'abc', 'gh']);
+});
+
 test('a connection that goes silent is replaced while a new one works', async t => {
-  const silence = {heartbeatIntervalMs: 20, silenceLimitMs: 200};
+  const clock = new runtime.ManualClock();
+  const silence = {clock, silenceLimitMs: 1_000};
   const pair = await fixture.connectedPair(
     t,
     {...fixture.refuseAll, onCall: async call => hang(call)},
@@ -162,6 +193,7 @@
   const calling = old.call(fixture.callHead(), null, fixture.callOptions());
   await old.request({kind: 'status'}, 600_000);
   relay.emit('silence');
+  await clock.advance(1_000);
   t.deepEqual(await calling, {kind: 'lost', sent: true});
   t.is(await old.ended, 'silent');
   const fresh = await pool.connectFresh('127.0.0.1', port);
