--- a/packages/ownership/src/test/cell-member_test.ts
+++ b/packages/ownership/src/test/cell-member_test.ts
@@ -123,6 +123,44 @@
   t.deepEqual(cluster.conflicts, []);
 });
 
+test('a restarted host that forgot a later view does not revive the older', t => {
+  for (let seed = 1; seed <= 10; seed++) {
+    const cluster = started(3, seed);
+    const [a, b, c] = hosts(3);
+    cluster.run(6_000);
+    cluster.partition([a, b, 'h9'], [c]);
+    cluster.start('h9');
+    cluster.list([a, b, c, 'h9']);
+    cluster.run(10_000);
+    t.true(cluster.ownsAll(), 'the majority with the new host acts');
+    cluster.stop(a);
+    cluster.partition([a, c], [b, 'h9']);
+    // The new process must not receive what was sent to the old one.
+    cluster.run(100);
+    cluster.start(a);
+    cluster.run(20_000);
+    t.deepEqual(cluster.conflicts, []);
+    t.true(cluster.ownsAll());
+    t.true(cluster.owners('s1').every(owner => [b, 'h9'].includes(owner)));
+  }
+});
+
+test('hosts that restart beside a survivor start no second first view', t => {
+  const cluster = started(3);
+  const [a, b, c] = hosts(3);
+  cluster.run(6_000);
+  cluster.start(a);
+  cluster.run(500);
+  cluster.partition([a, b], [c]);
+  cluster.start(b);
+  cluster.run(20_000);
+  t.deepEqual(cluster.conflicts, []);
+  cluster.partition([a, b, c]);
+  cluster.run(12_000);
+  t.true(cluster.ownsAll());
+  t.deepEqual(cluster.conflicts, []);
+});
+
 test('listed hosts are added, and hosts taken off the list are removed', t => {
   const cluster = started(3);
   cluster.run(6_000);
