--- a/packages/coordination/src/test/configuration-task_test.ts
+++ b/packages/coordination/src/test/configuration-task_test.ts
@@ -1,5 +1,6 @@
 import test from 'ava';
 import * as coordination from '../index.js';
+import * as relayPeers from '../relay-peers.js';
 import * as fakeFleet from './fake-fleet.js';
 
 function indexes(count: number): number[] {
@@ -91,3 +92,28 @@
   t.is(pushes(), pushesBefore);
   fleet.stopAll();
 });
+
+// Guards against relay peers of one availability zone only, which leaves a
+// revision in the zone where it was read.
+for (const count of [6, 14, 60]) {
+  test(`the relay peers of ${count} hosts connect all of them over 3 zones`, t => {
+    const hosts = indexes(count).map(fakeFleet.hostEntry);
+    const reached = new Set(['host-0']);
+    // Exchanges work in both directions, so links count in both.
+    const links = hosts.flatMap(host => {
+      const relays = relayPeers.chooseRelays(host, hosts);
+      t.is(new Set(relays).size, relayPeers.RELAY_FANOUT);
+      const zones = [host, ...relays].map(relay => relay.availabilityZone);
+      t.is(new Set(zones).size, 3);
+      return relays.map(relay => [host.hostId, relay.hostId]);
+    });
+    for (let size = 0; size < reached.size;) {
+      size = reached.size;
+      for (const [from, to] of links) {
+        if (reached.has(from)) reached.add(to);
+        if (reached.has(to)) reached.add(from);
+      }
+    }
+    t.is(reached.size, count);
+  });
+}
