--- a/packages/command-line/src/commands/index.ts
+++ b/packages/command-line/src/commands/index.ts
@@ -5,6 +5,7 @@
 import * as demo from './demo.js';
 import * as diff from './diff.js';
 import * as drain from './drain.js';
+import * as experiment from './experiment.js';
 import * as explain from './explain.js';
 import * as status from './status.js';
 
@@ -17,4 +18,5 @@
   status.StatusCommand,
   drain.DrainCommand,
   demo.DemoCommand,
+  experiment.ExperimentCommand,
 ];
