--- a/packages/admission/src/concurrency-limit.ts
+++ b/packages/admission/src/concurrency-limit.ts
@@ -26,7 +26,8 @@
 const MINIMUM_SAMPLES = 8;
 const MAXIMUM_SAMPLES = 32;
 
-const LARGEST_FALL = 0.7;
+/** Most that one probe lowers the limit, since its verdict may be wrong. */
+const LARGEST_FALL = 0.8;
 const OVERLOAD_FALL = 0.9;
 
 /** Part of the limit in force while the baseline is measured again. */
