--- a/packages/coordination/src/organisation-limit.ts
+++ b/packages/coordination/src/organisation-limit.ts
@@ -3,8 +3,12 @@
 import type * as runtime from '@camphorwharf/runtime';
 import type * as ownerClient from './owner-client.js';
 
-/** How long a call waits for a token. */
-export const TOKEN_WAIT_MS = 50;
+/**
+ * How long a call waits for a token. With 50 ms, entry daemons on hosts short
+ * of CPU time refused calls within the rate; unmet demand is forgotten after
+ * 150 ms, so a longer wait would find no token.
+ */
+export const TOKEN_WAIT_MS = 150;
 
 /** How long a grant request may take. */
 export const GRANT_TIMEOUT_MS = 250;
--- a/packages/transport/src/heartbeat-ledger.ts
+++ b/packages/transport/src/heartbeat-ledger.ts
@@ -3,6 +3,12 @@
 /** 16 s of heartbeats, much longer than any permission lasts. */
 const REMEMBERED_HEARTBEATS = 64;
 
+/**
+ * Longest permission that a receiver accepts. Takeovers wait for longer than
+ * this, so a sender must not be able to extend it.
+ */
+const MAXIMUM_PERMISSION_MS = 2_000;
+
 /**
  * What one end knows of the heartbeats of a connection, by its own monotonic
  * clock. The hello counts as heartbeat 0.
@@ -76,7 +82,8 @@
       return false;
     }
     const sentMs = this.sentMs[heartbeatNumber % REMEMBERED_HEARTBEATS];
-    return nowMs <= sentMs + elapsedMs + remainingMs;
+    const lifetimeMs = Math.min(remainingMs, MAXIMUM_PERMISSION_MS);
+    return nowMs <= sentMs + elapsedMs + lifetimeMs;
   }
 
   /** Tells which direction is silent for `limitMs` or longer, if any. */
