Test the reading of caller requests and settings

The daemon had no tests for what it reads from outside. Tables cover key headers, timeouts, paths, internal headers and the settings file; a seeded property checks that no passed header holds the key.

--- /dev/null
+++ b/packages/daemon/src/test/caller-request_test.ts
@@ -0,0 +1,205 @@
+import type * as protocol from '@camphorwharf/protocol';
+import * as runtime from '@camphorwharf/runtime';
+import test from 'ava';
+import * as fc from 'fast-check';
+import * as callerRequest from '../caller-request.js';
+
+const KEY = 'key-of-the-organisation';
+
+interface Case {
+  /** The failure that the case guards against. */
+  readonly guards: string;
+  readonly target?: string;
+  readonly headers?: protocol.HeaderList;
+  readonly expected:
+    protocol.RefusalReasonName | Partial<callerRequest.CallerRequest>;
+}
+
+const bearer = (value: string): protocol.HeaderList => [
+  ['authorization', value],
+];
+
+const CASES: readonly Case[] = [
+  {
+    guards: 'a call without a key counts as one with a key',
+    expected: {keyHash: null, handle: null, timeoutMs: null},
+  },
+  {
+    guards: 'the key is kept in clear',
+    headers: bearer(`Bearer ${KEY}`),
+    expected: {keyHash: runtime.sha256Hex(KEY), headers: []},
+  },
+  {
+    guards: 'the scheme is compared with case',
+    headers: [['Authorization', `bearer ${KEY}`]],
+    expected: {keyHash: runtime.sha256Hex(KEY)},
+  },
+  ...['', 'Bearer', 'Bearer ', `Basic ${KEY}`, KEY, `Bearer ${KEY} more`].map(
+    value => ({
+      guards: `a malformed key header passes: "${value}"`,
+      headers: bearer(value),
+      expected: 'keyMalformed' as const,
+    }),
+  ),
+  {
+    guards: 'characters outside ASCII are taken for a key',
+    headers: bearer('Bearer k\u00e9y'),
+    expected: 'keyMalformed',
+  },
+  {
+    guards: 'the longest key is refused',
+    headers: bearer(`Bearer ${'k'.repeat(512)}`),
+    expected: {keyHash: runtime.sha256Hex('k'.repeat(512))},
+  },
+  {
+    guards: 'an oversized key is hashed',
+    headers: bearer(`Bearer ${'k'.repeat(513)}`),
+    expected: 'keyMalformed',
+  },
+  ...(
+    [
+      ['authorization', `Bearer ${KEY}`],
+      ['idempotency-key', '1-a'],
+      ['camphorwharf-handle', 'ab'],
+      ['camphorwharf-timeout-ms', '10'],
+      ['content-length', '10'],
+    ] as const
+  ).map(([name, value]) => ({
+    guards: `one of two ${name} headers wins`,
+    headers: [
+      [name, value],
+      [name.toUpperCase(), value],
+    ] as const,
+    expected: 'headerInvalid' as const,
+  })),
+  ...['0', '-1', '1.5', 'soon', '', ' 10', '1e3', '123456789'].map(value => ({
+    guards: `an invalid timeout is ignored: "${value}"`,
+    headers: [['camphorwharf-timeout-ms', value]] as const,
+    expected: 'headerInvalid' as const,
+  })),
+  {
+    guards: 'a valid timeout is lost',
+    headers: [['camphorwharf-timeout-ms', '12345678']],
+    expected: {timeoutMs: 12_345_678, headers: []},
+  },
+  {
+    guards: 'the idempotency key is passed on as a caller header',
+    headers: [['Idempotency-Key', 'k'.repeat(128)]],
+    expected: {idempotencyKey: 'k'.repeat(128), headers: []},
+  },
+  {
+    guards: 'an oversized idempotency key reaches its owner',
+    headers: [['idempotency-key', 'k'.repeat(129)]],
+    expected: 'idempotencyKeyInvalid',
+  },
+  {
+    guards: 'forged internal headers pass',
+    headers: [
+      ['camphorwharf-organisation', 'other'],
+      ['CamphorWharf-Request-Id', '1'],
+      ['camphorwharf-remaining-ms', '9'],
+      ['accept', '*/*'],
+    ],
+    expected: {headers: [['accept', '*/*']]},
+  },
+  ...(
+    [
+      ['/parts', 'parts', '/'],
+      ['/parts/', 'parts', '/'],
+      ['/parts/a/b?c=d', 'parts', '/a/b?c=d'],
+      ['/parts?c=d', 'parts', '/?c=d'],
+    ] as const
+  ).map(([target, service, path]) => ({
+    guards: `the path is split wrongly: ${target}`,
+    target,
+    expected: {service, path},
+  })),
+  ...['', '/', '//parts/a', 'parts/a', '/Parts', '/a#b', 'http://a/b', '*'].map(
+    target => ({
+      guards: `a target without a service is routed: "${target}"`,
+      target,
+      expected: 'routeUnknown' as const,
+    }),
+  ),
+];
+
+for (const {guards, target = '/parts/a', headers = [], expected} of CASES) {
+  test(`parseCallerRequest: guards against: ${guards}`, t => {
+    const parsed = callerRequest.parseCallerRequest(target, headers);
+    if (typeof expected === 'string') {
+      t.deepEqual(parsed, {kind: 'invalid', reason: expected});
+      return;
+    }
+    t.is(parsed.kind, 'valid');
+    if (parsed.kind === 'valid') t.like(parsed.request, expected);
+  });
+}
+
+test('passedHeaders: guards against hop-by-hop headers that pass', t => {
+  const dropped: protocol.HeaderList = [
+    'Authorization',
+    'connection',
+    'content-length',
+    'expect',
+    'host',
+    'Keep-Alive',
+    'proxy-authenticate',
+    'proxy-authorization',
+    'proxy-connection',
+    'te',
+    'trailer',
+    'transfer-encoding',
+    'Upgrade',
+  ].map(name => [name, 'x-hop , X-Second']);
+  const passed: protocol.HeaderList = [
+    ['Accept', 'a'],
+    ['set-cookie', '1'],
+    ['set-cookie', '2'],
+  ];
+  t.deepEqual(
+    callerRequest.passedHeaders([
+      ...dropped,
+      ['X-Hop', '1'],
+      ['x-second', '2'],
+      ...passed,
+    ]),
+    passed,
+  );
+});
+
+test('parseCallerRequest: guards against any output with the key or an internal header', t => {
+  const name = fc.constantFrom(
+    'accept',
+    'Connection',
+    'idempotency-key',
+    'x-a',
+    'Camphorwharf-Organisation',
+    'camphorwharf-handle',
+    'CAMPHORWHARF-x',
+    'proxy-authorization',
+  );
+  const value = fc.constantFrom('1', 'x-a, accept', 'authorization', '');
+  fc.assert(
+    fc.property(
+      fc.array(fc.tuple(name, value), {maxLength: 8}),
+      fc.stringMatching(/^[!-~]{8,40}$/),
+      fc.constantFrom('authorization', 'Authorization', 'AUTHORIZATION'),
+      fc.nat(8),
+      (others, key, authorization, position) => {
+        const secret = `secret-${key}`;
+        const headers: Array<readonly [string, string]> = [...others];
+        headers.splice(position, 0, [authorization, `Bearer ${secret}`]);
+        const parsed = callerRequest.parseCallerRequest('/parts/a', headers);
+        if (parsed.kind === 'invalid') return;
+        t.false(
+          JSON.stringify(parsed).includes(JSON.stringify(secret).slice(1, -1)),
+        );
+        for (const [header] of parsed.request.headers) {
+          t.false(header.toLowerCase().startsWith('camphorwharf-'));
+          t.not(header.toLowerCase(), 'authorization');
+        }
+      },
+    ),
+    {seed: 20_261, numRuns: 500},
+  );
+});
--- /dev/null
+++ b/packages/daemon/src/test/settings_test.ts
@@ -0,0 +1,100 @@
+import * as runtime from '@camphorwharf/runtime';
+import test from 'ava';
+import * as settingsFile from '../settings.js';
+
+const VALID = `
+host_id = "host-1"
+region = "jordan"
+availability_zone = "amman-a"
+service = "catalogue"
+
+[listen]
+address = "127.0.0.1"
+caller_port = 7000
+peer_port = 7001
+operator_port = 7002
+
+[backend_server]
+address = "::1"
+port = 8080
+
+[platform]
+url = "http://127.0.0.1:9000"
+`;
+
+function problemsOf(text: string): string[] {
+  try {
+    settingsFile.parseSettings(text, 'daemon.toml');
+  } catch (error) {
+    if (error instanceof runtime.ConfigurationError) {
+      return error.message.split('\n');
+    }
+    throw error;
+  }
+  return [];
+}
+
+test('settings: guards against a valid file that is refused or loses its defaults', t => {
+  const settings = settingsFile.parseSettings(VALID, 'daemon.toml');
+  t.like(settings, {
+    host_id: 'host-1',
+    listen: {caller_port: 7000, peer_port: 7001, operator_port: 7002},
+    backend_server: {
+      address: '::1',
+      port: 8080,
+      health_path: '/health',
+      load_path: '/load',
+    },
+    platform: {url: 'http://127.0.0.1:9000'},
+    peers: {seeds: []},
+    log: {level: 'info'},
+    limits: {caller_connections: 2_000, drain_seconds: 30},
+  });
+});
+
+/** Each edit adds exactly one problem at the path, with the remedy. */
+const EDITS: ReadonlyArray<readonly [string, string, string, RegExp]> = [
+  ['host_id = "host-1"', 'host_id = "Host 1"', 'host_id', /form/],
+  ['caller_port = 7000', 'caller_port = 0', 'listen.caller_port', /raise/],
+  ['peer_port = 7001', 'peer_port = 65536', 'listen.peer_port', /lower/],
+  ['operator_port = 7002', '', 'listen.operator_port', /type/],
+  ['port = 8080', 'port = "8080"', 'backend_server.port', /type/],
+  ['url = "http:', 'url = "ftp:', 'platform.url', /form/],
+  ['service = "c', 'servise = 1\nservice = "c', '\\(top level\\)', /spelling/],
+  ['[platform]', '[log]\nlevel = "all"\n[platform]', 'log.level', /correct/],
+];
+
+for (const [before, after, path, remedy] of EDITS) {
+  test(`settings: guards against a missed problem at ${path}`, t => {
+    const text = VALID.replace(before, after);
+    t.not(text, VALID);
+    const problems = problemsOf(text);
+    t.is(problems.length, 1);
+    t.regex(problems[0], new RegExp(`^daemon\\.toml: ${path}: .+; `));
+    t.regex(problems[0].split('; ').at(-1) ?? '', remedy);
+  });
+}
+
+test('settings: guards against a report that ends at the first problem', t => {
+  const text = EDITS.reduce(
+    (edited, [before, after]) => edited.replace(before, after),
+    VALID,
+  );
+  const problems = problemsOf(text);
+  t.is(problems.length, EDITS.length);
+  for (const [, , path] of EDITS) {
+    t.true(
+      problems.some(problem => new RegExp(`: ${path}: `).test(problem)),
+      path,
+    );
+  }
+});
+
+test('settings: guards against a syntax error without its line', t => {
+  const text = 'host_id = "a"\nregion = \nservice = "b"\n';
+  t.true(
+    problemsOf(text).includes(
+      'daemon.toml:2: not valid TOML; correct the syntax',
+    ),
+  );
+});
