--- /dev/null
+++ b/packages/daemon/src/test/daemon_test.ts
@@ -0,0 +1,319 @@
+import * as declaration from '@camphorwharf/declaration';
+import * as runtime from '@camphorwharf/runtime';
+import * as standIns from '@camphorwharf/stand-ins';
+import test from 'ava';
+import type * as ava from 'ava';
+import * as http from 'node:http';
+import * as net from 'node:net';
+import * as daemons from '../index.js';
+import * as fixture from './declaration-fixture.js';
+
+const LARGE_BYTES = 20 * 1024 * 1024;
+
+interface Answer {
+  readonly status: number;
+  readonly outcome: string | undefined;
+  readonly body: Buffer;
+  /** Whether the whole body arrived. */
+  readonly complete: boolean;
+  /** Local port of the connection; equal ports mean the same connection. */
+  readonly localPort: number | undefined;
+}
+
+interface Fleet {
+  readonly daemon: daemons.Daemon;
+  readonly platform: standIns.PlatformStandIn;
+  readonly callerPort: number;
+}
+
+/** Ports that are free now; all are held until the last one is known. */
+async function freePorts(count: number): Promise<number[]> {
+  const servers = Array.from({length: count}, () => net.createServer());
+  const ports = await Promise.all(servers.map(listen));
+  await Promise.all(servers.map(server => new Promise(r => server.close(r))));
+  return ports;
+}
+
+function listen(server: net.Server): Promise<number> {
+  return new Promise(resolve =>
+    server.listen(0, '127.0.0.1', () =>
+      resolve((server.address() as net.AddressInfo).port),
+    ),
+  );
+}
+
+/** Repeats until the probe is true; the timeout of ava bounds it. */
+async function until(probe: () => Promise<boolean>): Promise<void> {
+  const clock = new runtime.SystemClock();
+  while (!(await probe())) await clock.delay(20);
+}
+
+interface CallOptions {
+  readonly method?: string;
+  readonly headers?: http.OutgoingHttpHeaders;
+  readonly body?: Buffer;
+  readonly agent?: http.Agent;
+}
+
+function call(
+  port: number,
+  path: string,
+  {method = 'GET', headers, body, agent}: CallOptions = {},
+): Promise<Answer> {
+  return new Promise((resolve, reject) => {
+    const request = http.request(
+      {host: '127.0.0.1', port, path, method, headers, agent: agent ?? false},
+      response => {
+        const localPort = response.socket.localPort;
+        const chunks: Buffer[] = [];
+        response.on('data', (chunk: Buffer) => chunks.push(chunk));
+        // A cut answer ends in an error; "close" follows in both cases.
+        response.on('error', () => undefined);
+        response.on('close', () =>
+          resolve({
+            status: response.statusCode ?? 0,
+            outcome: response.headers['camphorwharf-outcome'] as string,
+            body: Buffer.concat(chunks),
+            complete: response.complete,
+            localPort,
+          }),
+        );
+      },
+    );
+    request.on('error', reject);
+    request.end(body);
+  });
+}
+
+const withKey = {authorization: `Bearer ${fixture.KEY}`};
+
+/** Starts a daemon before the backend server and waits until it serves. */
+async function startFleet(
+  t: ava.ExecutionContext,
+  backendPort: number,
+): Promise<Fleet> {
+  const platform = new standIns.PlatformStandIn();
+  const platformPort = await platform.listen();
+  t.teardown(() => platform.close());
+  const [callerPort, peerPort, operatorPort] = await freePorts(3);
+  const settings = daemons.parseSettings(
+    `
+host_id = "host-1"
+region = "r"
+availability_zone = "a"
+service = "parts"
+[listen]
+address = "127.0.0.1"
+caller_port = ${callerPort}
+peer_port = ${peerPort}
+operator_port = ${operatorPort}
+[backend_server]
+address = "127.0.0.1"
+port = ${backendPort}
+[platform]
+url = "http://127.0.0.1:${platformPort}"
+`,
+    'daemon.toml',
+  );
+  publish(platform, 1);
+  platform.publishHosts([
+    {
+      hostId: 'host-1',
+      address: '127.0.0.1',
+      peerPort,
+      callerPort,
+      service: 'parts',
+      region: 'r',
+      availabilityZone: 'a',
+      state: 'live',
+    },
+  ]);
+  const daemon = new daemons.Daemon(settings, {
+    clock: new runtime.SystemClock(),
+    random: new runtime.SeededRandom(11),
+    logger: runtime.silentLogger,
+  });
+  await daemon.start();
+  t.teardown(async () => {
+    daemon.beginStop();
+    await daemon.stopped;
+  });
+  await until(async () => daemon.ready);
+  // The bucket of a new owner starts empty, so the first calls are refused.
+  await until(async () => {
+    const answer = await call(callerPort, '/parts/items/0', {headers: withKey});
+    return answer.status === 200;
+  });
+  return {daemon, platform, callerPort};
+}
+
+function publish(
+  platform: standIns.PlatformStandIn,
+  revision: number,
+  key?: string,
+): void {
+  const document = fixture.document(revision, key);
+  platform.publishDocument(revision, declaration.serializeDocument(document));
+}
+
+async function startBackendServer(
+  t: ava.ExecutionContext,
+  options: Partial<standIns.BackendServerStandInOptions> = {},
+): Promise<{backendServer: standIns.BackendServerStandIn; port: number}> {
+  const backendServer = new standIns.BackendServerStandIn({
+    service: 'parts',
+    slots: 50,
+    connectionLimit: 100,
+    serviceTimeMs: 1,
+    seed: 5,
+    ...options,
+  });
+  const port = await backendServer.listen();
+  t.teardown(() => backendServer.close());
+  return {backendServer, port};
+}
+
+test('daemon: guards against wrong answers, wrong entitlement and a key that outlives its revocation', async t => {
+  const {backendServer, port} = await startBackendServer(t);
+  const {callerPort, platform} = await startFleet(t, port);
+  const agent = new http.Agent({keepAlive: true, maxSockets: 1});
+  t.teardown(() => agent.destroy());
+
+  const first = await call(callerPort, '/parts/items/1?a=b', {
+    headers: {...withKey, 'camphorwharf-organisation': 'forged'},
+    agent,
+  });
+  t.like(first, {status: 200, outcome: 'completed', complete: true});
+  t.like(JSON.parse(first.body.toString()), {
+    service: 'parts',
+    method: 'GET',
+    path: '/items/1?a=b',
+  });
+
+  const started = backendServer.report().started;
+  for (const headers of [{}, {authorization: 'Bearer other'}]) {
+    const answer = await call(callerPort, '/parts/items/1', {headers});
+    t.like(answer, {status: 401, outcome: 'not-run'});
+  }
+  t.is(backendServer.report().started, started, 'a refused call never runs');
+
+  const key = `${new runtime.SystemClock().wallMs()}-order`;
+  const order = {
+    method: 'POST',
+    headers: {...withKey, 'idempotency-key': key},
+    body: Buffer.from('one'),
+  };
+  const ordered = await call(callerPort, '/parts/orders', order);
+  t.like(ordered, {status: 200, outcome: 'completed'});
+  const repeated = await call(callerPort, '/parts/orders', order);
+  t.like(repeated, {status: 409, outcome: 'unknown'});
+  const differing = {...order, body: Buffer.from('two')};
+  const reused = await call(callerPort, '/parts/orders', differing);
+  t.like(reused, {status: 422, outcome: 'not-run'});
+  t.deepEqual(backendServer.report().runsPerIdempotencyKey, {
+    [`shop|${key}`]: 1,
+  });
+
+  publish(platform, 2, 'another-key');
+  let refused: Answer | null = null;
+  await until(async () => {
+    refused = await call(callerPort, '/parts/items/1', {
+      headers: withKey,
+      agent,
+    });
+    return refused.status !== 200;
+  });
+  t.like(refused, {status: 401, localPort: first.localPort});
+  const replaced = {authorization: 'Bearer another-key'};
+  const renewed = await call(callerPort, '/parts/items/1', {headers: replaced});
+  t.is(renewed.status, 200);
+  t.false(backendServer.report().sawAuthorization);
+});
+
+test('daemon: guards against large bodies that are cut or changed', async t => {
+  const {port} = await startBackendServer(t, {answerBytes: LARGE_BYTES});
+  const {callerPort} = await startFleet(t, port);
+  const body = Buffer.alloc(LARGE_BYTES, 'camphorwharf');
+  const answer = await call(callerPort, '/parts/orders', {
+    method: 'POST',
+    headers: withKey,
+    body,
+  });
+  t.like(answer, {status: 200, outcome: 'completed', complete: true});
+  const report = JSON.parse(answer.body.toString()) as Record<string, string>;
+  t.is(report['bodyDigest'], runtime.sha256Hex(body));
+  t.is(report['filler'].length, LARGE_BYTES);
+});
+
+/** How a backend server ends its answer early. */
+const TRUNCATIONS: ReadonlyArray<
+  readonly [string, (response: http.ServerResponse) => void]
+> = [
+  [
+    'declared length, part sent',
+    response => {
+      response.writeHead(200, {'content-length': 100_000});
+      response.write('x'.repeat(50_000), () => response.destroy());
+    },
+  ],
+  [
+    'chunked, without the last chunk',
+    response => {
+      response.writeHead(200);
+      response.write('x'.repeat(50_000), () => response.destroy());
+    },
+  ],
+  [
+    'head only',
+    response => {
+      response.writeHead(200, {'content-length': 10});
+      response.flushHeaders();
+      response.destroy();
+    },
+  ],
+  ['no head', response => response.destroy()],
+];
+
+test('daemon: guards against a truncated answer that counts as complete', async t => {
+  const server = http.createServer((request, response) => {
+    const index = /^\/orders\/(\d)$/.exec(request.url ?? '')?.[1];
+    if (index === undefined) response.end('{}');
+    else TRUNCATIONS[Number(index)][1](response);
+  });
+  const port = await listen(server);
+  t.teardown(() => new Promise<void>(r => server.close(() => r())));
+  t.teardown(() => server.closeAllConnections());
+  const {callerPort} = await startFleet(t, port);
+  for (const [index, [name]] of TRUNCATIONS.entries()) {
+    const answer = await call(callerPort, `/parts/orders/${index}`, {
+      method: 'POST',
+      headers: withKey,
+    }).catch(() => null);
+    // Acceptable ends: a connection error, a cut answer, outcome unknown.
+    const cut = answer === null || !answer.complete;
+    t.true(cut || answer.outcome === 'unknown', name);
+  }
+});
+
+test('daemon: guards against a planned stop that cuts calls', async t => {
+  const {backendServer, port} = await startBackendServer(t, {
+    serviceTimeMs: 400,
+    sigma: 0,
+  });
+  const {callerPort, daemon} = await startFleet(t, port);
+  const before = backendServer.report().started;
+  const running = Array.from({length: 5}, () =>
+    call(callerPort, '/parts/orders', {method: 'POST', headers: withKey}),
+  );
+  await until(async () => backendServer.report().started >= before + 5);
+  daemon.beginStop();
+  t.false(daemon.ready);
+  for (const answer of await Promise.all(running)) {
+    t.like(answer, {status: 200, outcome: 'completed', complete: true});
+  }
+  t.true(await daemon.stopped);
+  t.is(backendServer.report().cancelled, 0);
+  await t.throwsAsync(call(callerPort, '/parts/public'), {
+    code: 'ECONNREFUSED',
+  });
+});
