Add the commands load and cost

The bounds on added latency and on the control cost of a daemon could not be measured with the binary. `load` compares direct calls with calls through two daemons in one run; `cost` measures daemons without calls against the number of peers, optionally while the configuration changes. Peer connections count their bytes in peer_bytes_sent_total and peer_bytes_received_total.

--- a/packages/command-line/src/commands/index.ts
+++ b/packages/command-line/src/commands/index.ts
@@ -2,10 +2,12 @@
 
 import * as check from './check.js';
 import * as compile from './compile.js';
+import * as cost from './cost.js';
 import * as demo from './demo.js';
 import * as diff from './diff.js';
 import * as drain from './drain.js';
 import * as explain from './explain.js';
+import * as load from './load.js';
 import * as status from './status.js';
 
 /** Every command of the binary; a new command is added here. */
@@ -17,4 +19,6 @@
   status.StatusCommand,
   drain.DrainCommand,
   demo.DemoCommand,
+  load.LoadCommand,
+  cost.CostCommand,
 ];
--- a/packages/command-line/src/demo/fleet.ts
+++ b/packages/command-line/src/demo/fleet.ts
@@ -17,6 +17,14 @@
   daemon: processSet.DemoProcess | null;
 }
 
+export interface DemoFleetOptions {
+  /**
+   * One backend server process stands behind all daemons. It serves the first
+   * service of the deployment and makes no downstream calls.
+   */
+  readonly sharedBackendServer?: boolean;
+}
+
 const LOOPBACK = '127.0.0.1';
 const READY_LIMIT_MS = 30_000;
 
@@ -31,6 +39,7 @@
     private readonly processes: processSet.ProcessSet,
     private readonly clock: runtime.Clock,
     private readonly seed: number,
+    private readonly options: DemoFleetOptions = {},
   ) {}
 
   /** Starts the platform, the backend servers and the daemons. */
@@ -42,8 +51,11 @@
     );
     this.platformUrl = `http://${LOOPBACK}:${String(platform.firstLine['port'])}`;
     await this.planHosts();
-    progress(`starting ${this.hosts.length} backend servers and daemons`);
+    progress(`starting ${this.hosts.length} daemons and their backend servers`);
     await this.publishHosts();
+    if (this.options.sharedBackendServer && this.hosts[0]) {
+      await this.startBackendServer(this.hosts[0]);
+    }
     await Promise.all(this.hosts.map(host => this.startHost(host)));
   }
 
@@ -118,6 +130,7 @@
         const hostId = `${service.name}-${index + 1}`;
         const [callerPort, peerPort, operatorPort, backendServerPort] =
           ports.splice(0, 4);
+        const shared = this.options.sharedBackendServer && this.hosts[0];
         this.hosts.push({
           entry: {
             hostId,
@@ -131,7 +144,9 @@
             state: declaration.HostState.live,
           },
           operatorPort,
-          backendServerPort,
+          backendServerPort: shared
+            ? shared.backendServerPort
+            : backendServerPort,
           settingsFile: path.join(this.folder, `${hostId}.toml`),
           backendServer: null,
           daemon: null,
@@ -141,6 +156,11 @@
   }
 
   private async startHost(host: DemoHost): Promise<void> {
+    if (!this.options.sharedBackendServer) await this.startBackendServer(host);
+    await this.startDaemon(host);
+  }
+
+  private async startBackendServer(host: DemoHost): Promise<void> {
     const {entry} = host;
     const service = this.deployment.services.find(
       candidate => candidate.name === entry.service,
@@ -157,10 +177,9 @@
         `--service-time-ms=${service.serviceTimeMs}`,
         `--seed=${this.seed * 1_000 + index}`,
         `--daemon-url=http://${LOOPBACK}:${entry.callerPort}`,
-        `--downstream=${JSON.stringify(service.downstream)}`,
+        `--downstream=${JSON.stringify(this.options.sharedBackendServer ? [] : service.downstream)}`,
       ],
     );
-    await this.startDaemon(host);
   }
 
   /** Starts the daemon of a host, the first time or again. */
--- /dev/null
+++ b/packages/command-line/src/measure/fleet-session.ts
@@ -0,0 +1,73 @@
+import * as runtime from '@camphorwharf/runtime';
+import type * as declaration from '@camphorwharf/declaration';
+import * as fs from 'node:fs';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import type * as deployments from '../demo/deployments.js';
+import * as fleets from '../demo/fleet.js';
+import * as processSet from '../demo/process-set.js';
+import * as processUsage from './process-usage.js';
+
+export interface SessionOptions extends fleets.DemoFleetOptions {
+  readonly deployment: deployments.DemoDeployment;
+  readonly document: declaration.PublishedDocument;
+  readonly seed: number;
+  readonly clock: runtime.Clock;
+  readonly progress: (message: string) => void;
+}
+
+const STOP_SIGNALS = ['SIGINT', 'SIGTERM', 'SIGHUP'] as const;
+
+/**
+ * Runs `work` with a fleet whose daemons are ready, and ends every process of
+ * the fleet afterwards: on success, on failure and on a signal.
+ */
+export async function withFleet<T>(
+  options: SessionOptions,
+  work: (fleet: fleets.DemoFleet) => Promise<T>,
+): Promise<T> {
+  const {deployment, clock} = options;
+  const folder = fs.mkdtempSync(path.join(os.tmpdir(), 'camphorwharf-'));
+  const processes = new processSet.ProcessSet(clock, folder);
+  const cleanUp = async () => {
+    // The second pass ends a process that was being spawned in the first.
+    await processes.stopAll();
+    await processes.stopAll();
+    fs.rmSync(folder, {recursive: true, force: true});
+  };
+  const onSignal = () => void cleanUp().finally(() => process.exit(130));
+  for (const signal of STOP_SIGNALS) process.once(signal, onSignal);
+  try {
+    const fleet = new fleets.DemoFleet(
+      deployment,
+      folder,
+      processes,
+      clock,
+      options.seed,
+      options,
+    );
+    await fleet.start(options.progress);
+    await fleet.publishDocument(options.document);
+    options.progress('waiting until every daemon is ready');
+    await fleet.awaitReady();
+    return await work(fleet);
+  } finally {
+    await cleanUp();
+    for (const signal of STOP_SIGNALS) process.off(signal, onSignal);
+  }
+}
+
+/** Usage of each daemon of the fleet, in the order of its hosts. */
+export function daemonUsages(
+  fleet: fleets.DemoFleet,
+): processUsage.ProcessUsage[] {
+  return fleet.hosts.map(({daemon, entry}) => {
+    const processId = daemon?.child.pid;
+    if (processId === undefined) {
+      throw new runtime.ConfigurationError(
+        `The daemon of ${entry.hostId} does not run; start the fleet first.`,
+      );
+    }
+    return processUsage.readProcessUsage(processId);
+  });
+}
--- a/packages/transport/src/connection-report.ts
+++ b/packages/transport/src/connection-report.ts
@@ -1,15 +1,20 @@
+import type * as net from 'node:net';
 import type * as runtime from '@camphorwharf/runtime';
 import type * as options from './peer-options.js';
 
 /** Counters and log lines of one peer connection. */
 export class ConnectionReport {
   private countedUnknownFrames = 0;
+  private countedSentBytes = 0;
+  private countedReceivedBytes = 0;
 
   constructor(
     private readonly options: Pick<options.PeerOptions, 'logger' | 'metrics'>,
+    private readonly socket: Pick<net.Socket, 'bytesRead' | 'bytesWritten'>,
   ) {}
 
   closed(reason: options.CloseReasonName, fields: runtime.LogFields): void {
+    this.bytes();
     this.options.metrics.count(
       'peer_connections_closed_total',
       'Peer connections that ended, by reason.',
@@ -33,6 +38,25 @@
     }
   }
 
+  /** Counts what the socket has carried since the last time. */
+  bytes(): void {
+    const {bytesWritten, bytesRead} = this.socket;
+    this.options.metrics.count(
+      'peer_bytes_sent_total',
+      'Bytes written to peer connections, calls and control together.',
+      {},
+      bytesWritten - this.countedSentBytes,
+    );
+    this.options.metrics.count(
+      'peer_bytes_received_total',
+      'Bytes read from peer connections, calls and control together.',
+      {},
+      bytesRead - this.countedReceivedBytes,
+    );
+    this.countedSentBytes = bytesWritten;
+    this.countedReceivedBytes = bytesRead;
+  }
+
   handlerFailed(what: 'call' | 'request', error: unknown): void {
     this.options.metrics.count(
       'peer_handler_errors_total',
--- a/packages/transport/src/peer-connection.ts
+++ b/packages/transport/src/peer-connection.ts
@@ -37,7 +37,7 @@
     initiator: boolean,
   ) {
     const {clock, handler, hello} = options;
-    this.report = new connectionReport.ConnectionReport(options);
+    this.report = new connectionReport.ConnectionReport(options, socket);
     this.ended = new Promise(resolve => {
       this.resolveEnded = resolve;
     });
@@ -257,6 +257,7 @@
         await inputPhase();
       }
       if (this.closed) return;
+      this.report.bytes();
       const direction = this.heartbeats.silent(clock.monotonicMs(), limitMs);
       if (direction) this.end('silent', undefined, direction);
     }
--- a/packages/transport/src/test/peer_connection_test.ts
+++ b/packages/transport/src/test/peer_connection_test.ts
@@ -1,4 +1,5 @@
 import test from 'ava';
+import * as connectionReport from '../connection-report.js';
 import type * as transport from '../index.js';
 import * as fixture from './peer-fixture.js';
 
@@ -80,3 +81,47 @@
     t.like(result, expected);
   });
 }
+
+// The control cost is measured with these counters: they must hold every byte
+// up to the end of the connection.
+test('byte counters of both ends agree after the connection has ended', async t => {
+  const pair = await fixture.connectedPair(t, fixture.refuseAll, {
+    // A heartbeat that crosses the close would reset the connection.
+    heartbeatIntervalMs: 600_000,
+  });
+  for (const hostId of ['a', 'b'.repeat(5_000)]) {
+    await pair.caller.request({kind: 'leaving', hostId}, 600_000);
+  }
+  const [accepted] = pair.listener.connections;
+  await pair.caller.closeWhenIdle();
+  t.is(await accepted!.ended, 'remoteClosed');
+  const sent = await fixture.counter(
+    pair.callerMetrics,
+    'peer_bytes_sent_total',
+  );
+  const received = await fixture.counter(
+    pair.listenerMetrics,
+    'peer_bytes_received_total',
+  );
+  t.is(received, sent);
+  t.true(sent > 5_000, `${sent} bytes`);
+});
+
+// Heartbeats report the totals of the socket again and again; a byte must not
+// be counted twice.
+test('byte counters grow by what the socket has carried since', async t => {
+  const options = fixture.peerOptions('entry');
+  const socket = {bytesWritten: 0, bytesRead: 0};
+  const report = new connectionReport.ConnectionReport(options, socket);
+  for (const [bytesWritten, bytesRead] of [
+    [10, 0],
+    [10, 7],
+    [250, 7],
+  ] as const) {
+    Object.assign(socket, {bytesWritten, bytesRead});
+    report.bytes();
+    const read = (name: string) => fixture.counter(options.metrics, name);
+    t.is(await read('peer_bytes_sent_total'), bytesWritten);
+    t.is(await read('peer_bytes_received_total'), bytesRead);
+  }
+});
