--- a/packages/command-line/src/measure/cost-measurement.ts
+++ b/packages/command-line/src/measure/cost-measurement.ts
@@ -1,6 +1,7 @@
 import * as runtime from '@camphorwharf/runtime';
 import * as os from 'node:os';
 import type * as fleets from '../demo/fleet.js';
+import * as daemonClient from '../daemon-client.js';
 import * as output from '../output.js';
 import * as bounds from './bounds.js';
 import * as documents from './documents.js';
@@ -10,6 +11,8 @@
 /** Views form and connections open in this time after the fleet is ready. */
 const SETTLE_MS = 5_000;
 
+const STATUS_LIMIT_MS = 3_000;
+
 const SENT = 'camphorwharf_peer_bytes_sent_total';
 const RECEIVED = 'camphorwharf_peer_bytes_received_total';
 
@@ -41,6 +44,8 @@
   readonly trafficKbPerSecond: Spread;
   /** Revisions published in the measurement. */
   readonly changes: number;
+  /** Lowest revision in force at the end; null when a daemon has none. */
+  readonly lowestRevision: number | null;
   /** Load averages of the machine over 1, 5 and 15 minutes, at the end. */
   readonly loadAverage: readonly number[];
 }
@@ -149,6 +154,7 @@
       rates.map(({sent, received}) => sent + received),
     ),
     changes,
+    lowestRevision: await lowestRevision(fleet),
     loadAverage: os.loadavg(),
   };
 }
@@ -171,6 +177,19 @@
   return total;
 }
 
+/** Shows that the daemons have adopted the changes and not rejected them. */
+async function lowestRevision(fleet: fleets.DemoFleet): Promise<number | null> {
+  const answers = await Promise.all(
+    fleet.hosts.map(({operatorPort}) =>
+      daemonClient.fetchStatus(`127.0.0.1:${operatorPort}`, STATUS_LIMIT_MS),
+    ),
+  );
+  const revisions = answers.map(answer =>
+    answer.ok ? answer.status.revision : null,
+  );
+  return revisions.includes(null) ? null : Math.min(...revisions.map(Number));
+}
+
 interface PeerBytes {
   readonly sent: number;
   readonly received: number;
@@ -221,6 +240,7 @@
       'received KB/s median',
       'maximum',
       'changes',
+      'lowest revision',
       'load average',
     ],
     ...report.sizes.map(size => [
@@ -230,6 +250,7 @@
       ...pair(size.sentKbPerSecond),
       ...pair(size.receivedKbPerSecond),
       size.changes,
+      size.lowestRevision,
       size.loadAverage[0]!.toFixed(1),
     ]),
   ]);
