--- a/packages/command-line/src/commands/cost.ts
+++ b/packages/command-line/src/commands/cost.ts
@@ -40,6 +40,9 @@
   seconds = clipanion.Option.String('--seconds', '10', {
     description: 'Duration of the measurement of each size.',
   });
+  settleSeconds = clipanion.Option.String('--settle-seconds', '5', {
+    description: 'Time between readiness and the measurement.',
+  });
   changesPerSecond = clipanion.Option.String('--changes-per-second', '0', {
     description: 'Document revisions that are published per second.',
   });
@@ -61,6 +64,10 @@
         minimum: 1,
         maximum: 600,
       }),
+      settleSeconds: parseNumber('--settle-seconds', this.settleSeconds, {
+        minimum: 0,
+        maximum: 600,
+      }),
       changesPerSecond: parseNumber(
         '--changes-per-second',
         this.changesPerSecond,
--- a/packages/command-line/src/measure/cost-measurement.ts
+++ b/packages/command-line/src/measure/cost-measurement.ts
@@ -8,9 +8,6 @@
 import * as fleetSession from './fleet-session.js';
 import * as statistics from './statistics.js';
 
-/** Views form and connections open in this time after the fleet is ready. */
-const SETTLE_MS = 5_000;
-
 const STATUS_LIMIT_MS = 3_000;
 
 const SENT = 'camphorwharf_peer_bytes_sent_total';
@@ -20,6 +17,8 @@
   /** Numbers of hosts, measured one after the other. */
   readonly sizes: readonly number[];
   readonly seconds: number;
+  /** Time between readiness and the measurement. */
+  readonly settleSeconds: number;
   /** New document revisions per second during the measurement. */
   readonly changesPerSecond: number;
   readonly seed: number;
@@ -53,6 +52,7 @@
 export interface CostReport {
   readonly seed: number;
   readonly seconds: number;
+  readonly settleSeconds: number;
   readonly changesPerSecond: number;
   readonly processors: number;
   readonly sizes: readonly SizeResult[];
@@ -88,6 +88,7 @@
   return {
     seed: options.seed,
     seconds: options.seconds,
+    settleSeconds: options.settleSeconds,
     changesPerSecond: options.changesPerSecond,
     processors: os.availableParallelism(),
     sizes,
@@ -119,7 +120,7 @@
   fleet: fleets.DemoFleet,
 ): Promise<SizeResult> {
   const {clock, seconds, progress} = options;
-  await clock.delay(SETTLE_MS);
+  await clock.delay(1_000 * options.settleSeconds);
   progress(`measuring ${fleet.hosts.length} daemons for ${seconds} s`);
   // The byte counters are read outside the interval of the CPU times, because
   // reading them costs CPU time in the daemon.
@@ -264,7 +265,7 @@
   ]);
   const verdicts = output.formatTable(bounds.verdictRows(report.verdicts));
   return (
-    `seed ${report.seed}, ${report.seconds} s for each size, ` +
+    `seed ${report.seed}, ${report.seconds} s for each size after ${report.settleSeconds} s, ` +
     `${report.changesPerSecond} changes/s, ${report.processors} processors\n\n` +
     `${sizes}\n${fits}\n${verdicts}`
   );
--- a/packages/command-line/src/measure/fleet-session.ts
+++ b/packages/command-line/src/measure/fleet-session.ts
@@ -33,7 +33,9 @@
     // The second pass ends a process that was being spawned in the first.
     await processes.stopAll();
     await processes.stopAll();
-    fs.rmSync(folder, {recursive: true, force: true});
+    if (!process.env['CAMPHORWHARF_DEMO_KEEP_LOGS']) {
+      fs.rmSync(folder, {recursive: true, force: true});
+    }
   };
   const onSignal = () => void cleanUp().finally(() => process.exit(130));
   for (const signal of STOP_SIGNALS) process.once(signal, onSignal);
