Let a leaving target serve until its senders know; keep readiness

A leaving target refused at once, which spent the retry ratio of its service. Readiness fell on every member of a cell at each departure, and a new owner that may not fill its bucket yet was reported as the caller's excess.

--- a/packages/coordination/src/organisation-limit.ts
+++ b/packages/coordination/src/organisation-limit.ts
@@ -106,7 +106,7 @@
       return Promise.resolve('granted');
     }
     const endMs = nowMs + TOKEN_WAIT_MS;
-    if (this.emptyUntilMs >= endMs) return Promise.resolve('limitExceeded');
+    if (this.emptyUntilMs >= endMs) return Promise.resolve(this.refusal(nowMs));
     if (this.waiting.length >= WAITING_LIMIT) {
       return Promise.resolve(this.refusal(nowMs));
     }
@@ -212,7 +212,8 @@
       const result = await ask(request, Math.max(1, endMs - sentMs));
       const nowMs = clock.monotonicMs();
       if (result.kind === 'reply' && result.reply.kind === 'grantAnswer') {
-        this.ownerAnswered = true;
+        // The organisation is not over its rate while the bucket is unfilled.
+        this.ownerAnswered = !result.reply.unfilled;
         this.pendingSinceMs = null;
         this.lastAnswerMs = nowMs;
         grants.recordAnswer(result.reply, sentMs, nowMs);
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,7 +1,6 @@
 import * as coordination from '@camphorwharf/coordination';
 import type * as declaration from '@camphorwharf/declaration';
 import * as ownership from '@camphorwharf/ownership';
-import type * as protocol from '@camphorwharf/protocol';
 import * as runtime from '@camphorwharf/runtime';
 import * as transport from '@camphorwharf/transport';
 import * as callPaths from './call-paths.js';
@@ -10,6 +9,7 @@
 import * as daemonStatus from './daemon-status.js';
 import * as healthTask from './health-task.js';
 import type * as settingsFile from './settings.js';
+import * as targetAvailability from './target-availability.js';
 import type * as targetPath from './target-path.js';
 
 /**
@@ -18,6 +18,8 @@
  */
 const CALLER_GRACE_MS = 2_000;
 
+const STOP_CHECK_INTERVAL_MS = 25;
+
 /** Weight of calls without an organisation while none is declared. */
 const DEFAULT_WEIGHT = 1;
 
@@ -42,6 +44,8 @@
   private readonly callerPath: callerPath.CallerPath;
   private readonly departure: coordination.DepartureTask;
   private stopping = false;
+  private hasBeenReady = false;
+  private readonly availability = new targetAvailability.TargetAvailability();
   private targetCalls = 0;
   private openRouteWeight = DEFAULT_WEIGHT;
   private resolveStopped: (complete: boolean) => void = () => undefined;
@@ -120,7 +124,8 @@
       register: this.register,
       backendServer: this.backendServer,
       weightOf: organisation => this.weightOf(organisation),
-      closedReason: () => this.targetClosedReason(),
+      closedReason: () =>
+        this.availability.closedReason(environment.clock.monotonicMs()),
     });
     this.target = paths.target;
     this.callerPath = paths.caller;
@@ -145,15 +150,20 @@
     );
   }
 
-  /** Whether calls that need an owner can be served. */
+  /**
+   * Whether callers should be sent here. Once its cell has acted, a daemon
+   * stays ready: each change of the view pauses parts of a cell only, and a
+   * load balancer would otherwise drop the whole cell.
+   */
   get ready(): boolean {
+    if (this.stopping) return false;
+    const nowMs = this.environment.clock.monotonicMs();
     const membership = this.parts.cell.membership;
-    return (
-      !this.stopping &&
+    this.hasBeenReady ||=
       this.parts.store.current !== null &&
       membership !== null &&
-      membership.createPing(this.environment.clock.monotonicMs()).active
-    );
+      membership.createPing(nowMs).active;
+    return this.hasBeenReady;
   }
 
   /** Opens the ports and starts the tasks. Throws when a port is taken. */
@@ -191,6 +201,7 @@
   beginStop(): void {
     if (this.stopping) return;
     this.stopping = true;
+    this.availability.beginLeaving(this.environment.clock.monotonicMs());
     this.stop().catch((error: unknown) => {
       this.environment.logger.error('stop-failed', {error: String(error)});
       this.finish(false);
@@ -206,10 +217,11 @@
     });
     this.callers.beginStop();
     const grace = clock.delay(CALLER_GRACE_MS);
-    const {unfinishedCalls} = await this.departure.run(limitMs);
-    // Callers and downstream calls of the last running requests are served
-    // until here, so the port closes last.
+    await this.departure.run(limitMs);
     await grace;
+    // Downstream calls of the last running requests arrive on the port for
+    // callers, so it closes after them.
+    while (this.targetCalls > 0) await clock.delay(STOP_CHECK_INTERVAL_MS);
     await this.callers.stop();
     this.tasks.abort();
     await Promise.all([
@@ -218,7 +230,7 @@
       this.operators.stop(),
     ]);
     timer.abort();
-    this.finish(unfinishedCalls === 0);
+    this.finish(true);
   }
 
   private finish(complete: boolean): void {
@@ -249,23 +261,12 @@
     });
   }
 
-  private targetClosedReason(): protocol.RefusalReasonName | null {
-    if (this.stopping) return 'targetLeaving';
-    switch (this.health.health) {
-      case 'up':
-        return null;
-      case 'down':
-        return 'targetUnavailable';
-      case 'leaving':
-        return 'targetLeaving';
-    }
-  }
-
   private onBackendServerHealth(health: healthTask.BackendServerHealth): void {
     const {hostId} = this.identity.self;
     const nowMs = this.environment.clock.monotonicMs();
     if (health === 'up') this.load.controller.beginColdStart(nowMs);
-    if (health !== 'leaving' && this.stopping) return;
+    this.availability.setHealth(health, nowMs);
+    if (this.stopping) return;
     const withdrawn = health !== 'leaving';
     const {directory} = this.parts;
     if (withdrawn) directory.withdrawLeaving(hostId);
--- a/packages/ownership/src/buckets.ts
+++ b/packages/ownership/src/buckets.ts
@@ -62,6 +62,9 @@
     }
     own.spend(account, request.spent);
     const tokens = own.give(holderKey, account, request.tokens, nowMs);
+    if (tokens === 0 && own.isUnfilled(nowMs)) {
+      return {...grantAnswer(0, own.waitMs(nowMs)), unfilled: true};
+    }
     return grantAnswer(tokens, tokens > 0 ? 0 : own.waitMs(nowMs));
   }
 
--- a/packages/protocol/src/control-messages.ts
+++ b/packages/protocol/src/control-messages.ts
@@ -51,6 +51,8 @@
   readonly tokens: number;
   /** Time until the bucket can give a token, 0 when it gave some. */
   readonly retryAfterMs: number;
+  /** Set while a new owner's bucket may not be filled yet. */
+  readonly unfilled?: boolean;
 }
 export interface GrantReturn {
   readonly kind: 'grantReturn';
