--- a/packages/daemon/src/caller-request.ts
+++ b/packages/daemon/src/caller-request.ts
@@ -1,5 +1,6 @@
 import type * as protocol from '@camphorwharf/protocol';
 import * as runtime from '@camphorwharf/runtime';
+import * as transport from '@camphorwharf/transport';
 
 /** Header that a backend server presents on its downstream calls. */
 export const HANDLE_HEADER = 'camphorwharf-handle';
@@ -11,22 +12,8 @@
 const MAXIMUM_KEY_LENGTH = 512;
 const MAXIMUM_IDEMPOTENCY_KEY_LENGTH = 128;
 
-/** Headers that end at each HTTP hop, besides the ones the product reads. */
-const HOP_HEADERS: ReadonlySet<string> = new Set([
-  'authorization',
-  'connection',
-  'content-length',
-  'expect',
-  'host',
-  'keep-alive',
-  'proxy-authenticate',
-  'proxy-authorization',
-  'proxy-connection',
-  'te',
-  'trailer',
-  'transfer-encoding',
-  'upgrade',
-]);
+/** Headers that the daemon answers for itself, besides those of one hop. */
+const OWN_HEADERS: ReadonlySet<string> = new Set(['authorization', 'host']);
 
 /** What the product reads from a caller's request. */
 export interface CallerRequest {
@@ -90,20 +77,9 @@
 export function passedHeaders(
   headers: protocol.HeaderList,
 ): protocol.HeaderList {
-  const named = new Set<string>();
-  for (const [header, value] of headers) {
-    if (header.toLowerCase() !== 'connection') continue;
-    for (const option of value.split(',')) {
-      named.add(option.trim().toLowerCase());
-    }
-  }
-  return headers.filter(([header]) => {
+  return transport.withoutHopHeaders(headers).filter(([header]) => {
     const lower = header.toLowerCase();
-    return (
-      !HOP_HEADERS.has(lower) &&
-      !named.has(lower) &&
-      !lower.startsWith(INTERNAL_PREFIX)
-    );
+    return !OWN_HEADERS.has(lower) && !lower.startsWith(INTERNAL_PREFIX);
   });
 }
 
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -31,3 +31,4 @@
   PlatformClientOptions,
   PlatformValue,
 } from './platform-client.js';
+export {withoutHopHeaders} from './http-headers.js';
