--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -201,7 +201,6 @@
   beginStop(): void {
     if (this.stopping) return;
     this.stopping = true;
-    this.availability.beginLeaving(this.environment.clock.monotonicMs());
     this.stop().catch((error: unknown) => {
       this.environment.logger.error('stop-failed', {error: String(error)});
       this.finish(false);
@@ -215,13 +214,14 @@
     void clock.delay(limitMs, timer.signal).then(() => {
       if (!timer.signal.aborted) this.finish(false);
     });
-    this.callers.beginStop();
     const grace = clock.delay(CALLER_GRACE_MS);
     await this.departure.run(limitMs);
     await grace;
     // Downstream calls of the last running requests arrive on the port for
     // callers, so it closes after them.
-    while (this.targetCalls > 0) await clock.delay(STOP_CHECK_INTERVAL_MS);
+    while (this.targetCalls > 0 && !this.tasks.signal.aborted) {
+      await clock.delay(STOP_CHECK_INTERVAL_MS);
+    }
     await this.callers.stop();
     this.tasks.abort();
     await Promise.all([
@@ -256,7 +256,10 @@
       links: () => [...this.peers.connections, ...this.listener.connections],
       cell: this.parts.cell,
       limits: this.parts.limits,
-      stopAccepting: () => undefined,
+      stopAccepting: () => {
+        this.availability.beginLeaving(clock.monotonicMs());
+        this.callers.beginStop();
+      },
       runningCalls: () => this.targetCalls,
     });
   }
--- a/packages/protocol/src/outcomes.ts
+++ b/packages/protocol/src/outcomes.ts
@@ -71,9 +71,7 @@
   targetLeaving: advise(503, 1, 'Try again.', true),
   targetUnavailable: advise(503, 1, 'Try again.', true),
   noTarget: advise(503, 1, 'Try again; no target of the service is live.'),
-  retriesSpent: advise(503, 1, 'Try again later; the retry budget is spent.'),
   cancelled: advise(499, null, 'The caller cancelled before the call started.'),
-  shuttingDown: advise(503, 1, 'Connect to another host.', true),
   permissionExpired: advise(503, 1, 'Try again.', true),
   documentMissing: advise(
     503,
