Give every call of Sahab's demo a route

A third of the calls were refused with routeUnknown, because the demo used a path that the example declaration does not have; a test now checks both deployments.

--- a/packages/command-line/src/demo/deployments.ts
+++ b/packages/command-line/src/demo/deployments.ts
@@ -73,8 +73,8 @@
   requests: [
     lookup('catalogue', '/units/cabin', 45),
     order('bookings', '/reservations', 20, 0),
-    lookup('dispatch', '/dispatches', 15),
-    order('dispatch', '/dispatches', 10, 1),
+    lookup('dispatch', '/trips', 15),
+    order('dispatch', '/trips', 10, 1),
     order('billing', '/invoices', 10, 0),
   ],
   requestsPerSecond: 300,
--- a/packages/command-line/src/demo/run-demo.ts
+++ b/packages/command-line/src/demo/run-demo.ts
@@ -69,7 +69,8 @@
   }
 }
 
-function readDocument(name: string): declaration.PublishedDocument {
+/** Compiles the example declaration of a deployment. */
+export function readDocument(name: string): declaration.PublishedDocument {
   const file = url.fileURLToPath(
     new URL(`../../../../examples/${name}/declaration.toml`, import.meta.url),
   );
--- /dev/null
+++ b/packages/command-line/src/test/deployments_test.ts
@@ -0,0 +1,20 @@
+import * as declaration from '@camphorwharf/declaration';
+import test from 'ava';
+import * as deployments from '../demo/deployments.js';
+import * as runDemo from '../demo/run-demo.js';
+
+// Guards against demo calls that no route of the example declaration serves;
+// a third of Sahab's calls were refused with routeUnknown.
+for (const deployment of Object.values(deployments.DEPLOYMENTS)) {
+  test(`each call of ${deployment.name} has a route`, t => {
+    const document = runDemo.readDocument(deployment.name);
+    const index = new declaration.DocumentIndex(document);
+    const downstream = deployment.services.flatMap(
+      service => service.downstream,
+    );
+    for (const call of [...deployment.requests, ...downstream]) {
+      const route = index.matchRoute(call.service, call.method, call.path);
+      t.truthy(route, `${call.method} /${call.service}${call.path}`);
+    }
+  });
+}
