--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -3,5 +3,12 @@
 export {ServiceRetryRatio} from './retry-ratio.js';
 export {passesShareThreshold} from './share-threshold.js';
 export type {ShareCall, ShareThreshold} from './share-threshold.js';
+export {SlotAdmission} from './slot-admission.js';
+export type {
+  SlotEvent,
+  SlotRefusal,
+  SlotRequest,
+  SlotVerdict,
+} from './slot-admission.js';
 export {TargetAdmission} from './target-admission.js';
 export {Thresholds} from './threshold-table.js';
--- a/packages/coordination/src/test/fake-network.ts
+++ b/packages/coordination/src/test/fake-network.ts
@@ -129,6 +129,10 @@
     );
   }
 
+  report(): void {
+    throw new Error('No task under test sends reports.');
+  }
+
   async request(
     body: protocol.ControlRequest,
     timeoutMs: number,
--- a/packages/daemon/src/call-router.ts
+++ b/packages/daemon/src/call-router.ts
@@ -220,6 +220,20 @@
           finished,
         });
       }
+      case 'whole': {
+        settle('succeeded', result);
+        const {status, headers, body} = result;
+        return final({
+          kind: 'answer',
+          status,
+          headers,
+          contentLength: body.length,
+          body: (async function* () {
+            yield body;
+          })(),
+          finished: Promise.resolve(true),
+        });
+      }
       case 'refused':
         settle(
           result.reason === 'overloaded' ? 'overloaded' : 'cancelled',
--- a/packages/daemon/src/test/fake-peers.ts
+++ b/packages/daemon/src/test/fake-peers.ts
@@ -118,6 +118,7 @@
         availabilityZone: 'a',
       },
       closed: false,
+      report: () => undefined,
       request: body => {
         this.queries.push(body);
         const verdict = this.options.cancelVerdict;
--- a/packages/daemon/src/test/target-path_test.ts
+++ b/packages/daemon/src/test/target-path_test.ts
@@ -109,6 +109,9 @@
       answers.push(head.headers);
       unspent.push(trailer().unspentRetries);
     },
+    answerWhole: () => {
+      throw new Error('This path streams its answers.');
+    },
     refuse: (reason, final, trailer) => {
       ends.push(`refused ${reason}${final ? ' finally' : ''}`);
       unspent.push(trailer.unspentRetries);
--- /dev/null
+++ b/packages/fleet-limits/src/fleet-members.ts
@@ -0,0 +1,66 @@
+/** A host that has not reported for this long counts as silent. */
+const SILENT_AFTER_MS = 1_200;
+
+/** A host is not expected to report sooner after it was listed. */
+const JOINING_MS = 2_000;
+
+/**
+ * The hosts of the fleet and which of them have reported lately. The part of
+ * a limit that this host may use shrinks with the hosts that it cannot hear.
+ */
+export class FleetMembers {
+  private readonly heardMs = new Map<string, number>();
+  private readonly listedSinceMs = new Map<string, number>();
+
+  constructor(private readonly ownHost: string) {}
+
+  /** Takes over the listed hosts; this host always counts as listed. */
+  setListed(hosts: ReadonlySet<string>, nowMs: number): void {
+    for (const host of hosts) {
+      if (!this.listedSinceMs.has(host)) this.listedSinceMs.set(host, nowMs);
+    }
+    for (const host of this.listedSinceMs.keys()) {
+      if (!hosts.has(host)) this.listedSinceMs.delete(host);
+    }
+    for (const host of this.heardMs.keys()) {
+      if (!hosts.has(host)) this.heardMs.delete(host);
+    }
+  }
+
+  noteHeard(host: string, nowMs: number): void {
+    if (this.listedSinceMs.has(host)) this.heardMs.set(host, nowMs);
+  }
+
+  /** Listed hosts, this one included. */
+  get count(): number {
+    return this.listedSinceMs.size + (this.ownListed ? 0 : 1);
+  }
+
+  /** Listed hosts that have not reported lately. */
+  silentCount(nowMs: number): number {
+    let silent = 0;
+    for (const host of this.listedSinceMs.keys()) {
+      if (this.isSilent(host, nowMs)) silent++;
+    }
+    return silent;
+  }
+
+  isSilent(host: string, nowMs: number): boolean {
+    if (host === this.ownHost) return false;
+    const listedMs = this.listedSinceMs.get(host);
+    if (listedMs === undefined) return false;
+    const heardMs = this.heardMs.get(host);
+    if (heardMs !== undefined) return nowMs - heardMs >= SILENT_AFTER_MS;
+    return nowMs - listedMs >= JOINING_MS;
+  }
+
+  /** The part of the listed hosts that this host hears, itself included. */
+  heardShare(nowMs: number): number {
+    const {count} = this;
+    return count === 0 ? 1 : (count - this.silentCount(nowMs)) / count;
+  }
+
+  private get ownListed(): boolean {
+    return this.listedSinceMs.has(this.ownHost);
+  }
+}
--- /dev/null
+++ b/packages/fleet-limits/src/fleet-rate-limits.ts
@@ -0,0 +1,232 @@
+import * as members from './fleet-members.js';
+import * as sharedBucket from './shared-bucket.js';
+
+export interface LimitSettings {
+  readonly name: string;
+  /** 0 means that the organisation has no limit. */
+  readonly ratePerSecond: number;
+  readonly burst: number;
+}
+
+export type LimitVerdict =
+  | {readonly kind: 'granted'}
+  | {readonly kind: 'refused'; readonly retryAfterMs: number};
+
+/** What one process says of its use of one organisation's limit. */
+export interface UseReport {
+  readonly organisation: string;
+  /** Requests granted since the process started. */
+  readonly used: number;
+  /** Requests asked for, per second. */
+  readonly demand: number;
+  /** Tokens in the sender's copy of the bucket. */
+  readonly level: number;
+}
+
+interface Limit {
+  readonly bucket: sharedBucket.SharedBucket;
+  settings: LimitSettings;
+  used: number;
+}
+
+interface ReporterUse {
+  used: number;
+  demand: number;
+}
+
+interface Reporter {
+  readonly incarnation: string;
+  readonly uses: Map<string, ReporterUse>;
+  /** Since when the host was silent and counted with an equal part. */
+  silentSinceMs: number | null;
+}
+
+/** A copy of the bucket is taken over from processes of at least this age. */
+const SETTLED_AGE_MS = 3_000;
+
+/**
+ * The limits of all organisations at this host. The use over the fleet is
+ * the sum of what each host reports; there is no owner to find or to lose.
+ */
+export class FleetRateLimits {
+  private readonly limits = new Map<string, Limit>();
+  private readonly reporters = new Map<string, Reporter>();
+  private adopted = false;
+
+  constructor(
+    private readonly fleet: members.FleetMembers,
+    private readonly startedMs: number,
+  ) {}
+
+  configure(settings: readonly LimitSettings[], nowMs: number): void {
+    const kept = new Set<string>();
+    for (const one of settings) {
+      if (one.ratePerSecond <= 0) continue;
+      kept.add(one.name);
+      const limit = this.limits.get(one.name);
+      if (limit) {
+        limit.settings = one;
+        limit.bucket.reconfigure(one.ratePerSecond, one.burst);
+        continue;
+      }
+      this.limits.set(one.name, {
+        bucket: new sharedBucket.SharedBucket(
+          one.ratePerSecond,
+          one.burst,
+          nowMs,
+        ),
+        settings: one,
+        used: 0,
+      });
+    }
+    for (const name of this.limits.keys()) {
+      if (!kept.has(name)) this.limits.delete(name);
+    }
+  }
+
+  take(organisation: string, nowMs: number): LimitVerdict {
+    const limit = this.limits.get(organisation);
+    if (!limit) return {kind: 'granted'};
+    const granted = limit.bucket.take(
+      this.fleet.heardShare(nowMs),
+      1 / this.fleet.count,
+      nowMs,
+    );
+    if (!granted) {
+      return {kind: 'refused', retryAfterMs: limit.bucket.retryAfterMs()};
+    }
+    limit.used++;
+    return {kind: 'granted'};
+  }
+
+  /** For a request that was granted and will never run. */
+  giveBack(organisation: string): void {
+    const limit = this.limits.get(organisation);
+    if (!limit) return;
+    limit.used--;
+    limit.bucket.giveBack();
+  }
+
+  /** Whether any limit is so far used that reports should come often. */
+  get isScarce(): boolean {
+    for (const {bucket} of this.limits.values()) {
+      if (bucket.isScarce) return true;
+    }
+    return false;
+  }
+
+  /** What this process tells the other hosts. */
+  report(nowMs: number): UseReport[] {
+    const heardShare = this.fleet.heardShare(nowMs);
+    const equalPart = 1 / this.fleet.count;
+    const reports: UseReport[] = [];
+    for (const [organisation, limit] of this.limits) {
+      limit.bucket.advance(heardShare, equalPart, nowMs);
+      reports.push({
+        organisation,
+        used: limit.used,
+        demand: Math.round(limit.bucket.demand * 100) / 100,
+        level: Math.round(limit.bucket.tokens),
+      });
+    }
+    return reports;
+  }
+
+  /** Takes in the report of another host's process. */
+  learn(
+    host: string,
+    incarnation: string,
+    ageMs: number,
+    reports: readonly UseReport[],
+    nowMs: number,
+  ): void {
+    const wasSilent = this.fleet.isSilent(host, nowMs);
+    this.fleet.noteHeard(host, nowMs);
+    let reporter = this.reporters.get(host);
+    const isNew = !reporter || reporter.incarnation !== incarnation;
+    if (!reporter || isNew) {
+      reporter = {incarnation, uses: new Map(), silentSinceMs: null};
+      this.reporters.set(host, reporter);
+    }
+    const presumedMs =
+      wasSilent && reporter.silentSinceMs !== null
+        ? nowMs - reporter.silentSinceMs
+        : 0;
+    reporter.silentSinceMs = null;
+    for (const report of reports) {
+      this.learnOne(reporter, report, isNew, presumedMs);
+    }
+    this.adoptLevels(ageMs, reports, nowMs);
+    this.sumDemands();
+  }
+
+  /** Notes which hosts have fallen silent; called about once a second. */
+  tick(nowMs: number): void {
+    for (const [host, reporter] of this.reporters) {
+      if (!this.fleet.isSilent(host, nowMs)) continue;
+      if (reporter.silentSinceMs !== null) continue;
+      reporter.silentSinceMs = nowMs;
+      for (const use of reporter.uses.values()) use.demand = 0;
+    }
+    this.sumDemands();
+  }
+
+  private learnOne(
+    reporter: Reporter,
+    report: UseReport,
+    isNew: boolean,
+    presumedMs: number,
+  ): void {
+    const limit = this.limits.get(report.organisation);
+    const known = reporter.uses.get(report.organisation);
+    if (!known) {
+      reporter.uses.set(report.organisation, {
+        used: report.used,
+        demand: report.demand,
+      });
+      // What a process used before its first report is in its peers' levels.
+      if (isNew && limit && this.adopted) limit.bucket.debit(report.used);
+      return;
+    }
+    const presumed = limit
+      ? (limit.settings.ratePerSecond * presumedMs) / 1_000 / this.fleet.count
+      : 0;
+    const used = report.used - known.used;
+    if (limit) limit.bucket.debit(used > 0 ? Math.max(0, used - presumed) : used);
+    known.used = report.used;
+    known.demand = report.demand;
+  }
+
+  /** A young process starts from what the others have counted. */
+  private adoptLevels(
+    ageMs: number,
+    reports: readonly UseReport[],
+    nowMs: number,
+  ): void {
+    if (this.adopted) return;
+    if (nowMs - this.startedMs >= SETTLED_AGE_MS) {
+      this.adopted = true;
+      return;
+    }
+    if (ageMs < SETTLED_AGE_MS) return;
+    this.adopted = true;
+    for (const report of reports) {
+      this.limits.get(report.organisation)?.bucket.adoptLevel(report.level);
+    }
+  }
+
+  private sumDemands(): void {
+    const demands = new Map<string, number>();
+    for (const reporter of this.reporters.values()) {
+      for (const [organisation, use] of reporter.uses) {
+        demands.set(
+          organisation,
+          (demands.get(organisation) ?? 0) + use.demand,
+        );
+      }
+    }
+    for (const [organisation, limit] of this.limits) {
+      limit.bucket.setOthersDemand(demands.get(organisation) ?? 0);
+    }
+  }
+}
--- /dev/null
+++ b/packages/host-daemon/src/caller-endpoint.ts
@@ -0,0 +1,245 @@
+import * as http from 'node:http';
+import type * as net from 'node:net';
+import type * as protocol from '@camphorwharf/protocol';
+import type * as routing from '@camphorwharf/routing';
+import type * as runtime from '@camphorwharf/runtime';
+
+/** Bodies up to this size are kept whole, so that they can be sent again. */
+const WHOLE_BODY_BYTES = 1024 * 1024;
+
+/** The parser's limit; the configured one is checked on the parsed headers. */
+const PARSER_HEADER_BYTES = 64 * 1024;
+
+/** Until a configuration is known. */
+const INITIAL_HEADER_TIMEOUT_MS = 3_000;
+const INITIAL_IDLE_TIMEOUT_MS = 15_000;
+
+const CHECK_INTERVAL_MS = 500;
+
+export type EndpointBody = Uint8Array | AsyncIterable<Uint8Array> | null;
+
+/** One request of a client or of the local backend server. */
+export interface EndpointRequest {
+  readonly method: string;
+  readonly path: string;
+  /** Names and values as sent, in their order of arrival. */
+  readonly rawHeaders: readonly string[];
+  readonly headers: Readonly<Record<string, string | string[] | undefined>>;
+  /** Aborted when the client leaves before its answer has ended. */
+  readonly signal: AbortSignal;
+  /**
+   * Reads the body: as bytes up to a limit, else as a stream. Throws when the
+   * client breaks off.
+   */
+  readBody(): Promise<EndpointBody>;
+}
+
+export interface EndpointAnswer {
+  readonly status: number;
+  readonly headers: protocol.HeaderList;
+  readonly body: Uint8Array;
+}
+
+export interface CallerEndpointOptions {
+  readonly logger: runtime.Logger;
+  readonly metrics: runtime.Metrics;
+  /** Null means that the connection is reset without an answer. */
+  readonly handler: (request: EndpointRequest) => Promise<EndpointAnswer | null>;
+}
+
+/** The HTTP server of a host's clients and of its backend server. */
+export class CallerEndpoint {
+  private readonly server: http.Server;
+  private running = 0;
+  private closing = false;
+  private maximumHeaderBytes = PARSER_HEADER_BYTES;
+
+  constructor(private readonly options: CallerEndpointOptions) {
+    this.server = http.createServer(
+      {
+        maxHeaderSize: PARSER_HEADER_BYTES,
+        headersTimeout: INITIAL_HEADER_TIMEOUT_MS,
+        requestTimeout: 0,
+        keepAliveTimeout: INITIAL_IDLE_TIMEOUT_MS,
+        connectionsCheckingInterval: CHECK_INTERVAL_MS,
+        noDelay: true,
+      },
+      (request, response) => void this.serve(request, response),
+    );
+    this.server.on('clientError', (error, socket) =>
+      this.refuseMalformed(error, socket as net.Socket),
+    );
+  }
+
+  /** Requests without a complete answer. */
+  get runningCount(): number {
+    return this.running;
+  }
+
+  listen(port: number, address: string): Promise<void> {
+    return new Promise((resolve, reject) => {
+      this.server.once('error', reject);
+      this.server.listen({port, host: address, backlog: 1_024}, () => {
+        this.server.off('error', reject);
+        resolve();
+      });
+    });
+  }
+
+  /** The port in use, for a server that listens on port 0. */
+  get port(): number {
+    return (this.server.address() as net.AddressInfo).port;
+  }
+
+  applyLimits(limits: routing.ClientLimits): void {
+    this.maximumHeaderBytes = limits.maximumHeaderBytes;
+    this.server.headersTimeout = limits.headerTimeoutMs;
+    this.server.keepAliveTimeout = limits.idleTimeoutMs;
+  }
+
+  /** Makes each answer the last one of its connection. */
+  beginStop(): void {
+    this.closing = true;
+  }
+
+  /** Closes every connection. */
+  close(): void {
+    this.server.close();
+    this.server.closeAllConnections();
+  }
+
+  private async serve(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Promise<void> {
+    this.running++;
+    const controller = new AbortController();
+    let finished = false;
+    response.on('close', () => {
+      this.running--;
+      if (!finished) controller.abort();
+    });
+    response.on('finish', () => {
+      finished = true;
+    });
+    let answer: EndpointAnswer | null;
+    try {
+      answer =
+        headerBytes(request.rawHeaders) > this.maximumHeaderBytes
+          ? plainAnswer(431, 'Send fewer or shorter headers.')
+          : await this.options.handler({
+              method: request.method ?? 'GET',
+              path: request.url ?? '/',
+              rawHeaders: request.rawHeaders,
+              headers: request.headers,
+              signal: controller.signal,
+              readBody: () => readBody(request),
+            });
+    } catch (error) {
+      this.options.logger.error('caller-request-failed', {
+        error: error instanceof Error ? error.message : String(error),
+      });
+      answer = null;
+    }
+    if (controller.signal.aborted) return;
+    if (answer) this.respond(request, response, answer);
+    else request.socket.resetAndDestroy();
+  }
+
+  private respond(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+    answer: EndpointAnswer,
+  ): void {
+    const flat: string[] = [];
+    for (const [name, value] of answer.headers) flat.push(name, value);
+    if (answer.status !== 204 && answer.status !== 304) {
+      flat.push('Content-Length', String(answer.body.length));
+    }
+    // What is left of an unread body would be taken for the next request.
+    if (this.closing || !request.complete) flat.push('Connection', 'close');
+    response.sendDate = false;
+    response.writeHead(answer.status, flat);
+    response.end(answer.body);
+  }
+
+  private refuseMalformed(error: Error, socket: net.Socket): void {
+    const {code} = error as NodeJS.ErrnoException;
+    if (code === 'ECONNRESET' || !socket.writable) {
+      socket.destroy();
+      return;
+    }
+    this.options.metrics.count(
+      'caller_connections_refused_total',
+      'Connections of callers ended because of malformed input, by cause.',
+      {cause: code ?? 'malformed'},
+    );
+    const status =
+      code === 'HPE_HEADER_OVERFLOW'
+        ? 431
+        : code === 'ERR_HTTP_REQUEST_TIMEOUT'
+          ? 408
+          : 400;
+    // An answer here would be read as that of a request still at work.
+    const message = (socket as {_httpMessage?: unknown})._httpMessage;
+    if (message) {
+      socket.resetAndDestroy();
+      return;
+    }
+    socket.end(
+      `HTTP/1.1 ${status} ${http.STATUS_CODES[status]}\r\n` +
+        'Content-Length: 0\r\nConnection: close\r\n\r\n',
+    );
+  }
+}
+
+/** An answer of this process with a sentence of advice. */
+export function plainAnswer(
+  status: number,
+  advice: string,
+  headers: protocol.HeaderList = [],
+): EndpointAnswer {
+  return {
+    status,
+    headers: [['Content-Type', 'application/json'], ...headers],
+    body: Buffer.from(JSON.stringify({advice})),
+  };
+}
+
+async function readBody(request: http.IncomingMessage): Promise<EndpointBody> {
+  const declared = request.headers['content-length'];
+  if (
+    declared === undefined &&
+    request.headers['transfer-encoding'] === undefined
+  ) {
+    return null;
+  }
+  const iterator = request.iterator({destroyOnReturn: false});
+  const chunks: Buffer[] = [];
+  if (Number(declared ?? 0) > WHOLE_BODY_BYTES) {
+    return remainder(chunks, iterator);
+  }
+  let bytes = 0;
+  for (;;) {
+    const item = await iterator.next();
+    if (item.done) break;
+    chunks.push(item.value as Buffer);
+    bytes += (item.value as Buffer).length;
+    if (bytes > WHOLE_BODY_BYTES) return remainder(chunks, iterator);
+  }
+  return chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
+}
+
+async function* remainder(
+  read: readonly Buffer[],
+  rest: AsyncIterableIterator<unknown>,
+): AsyncGenerator<Uint8Array, void, void> {
+  yield* read;
+  for await (const chunk of rest) yield chunk as Uint8Array;
+}
+
+function headerBytes(rawHeaders: readonly string[]): number {
+  let bytes = 0;
+  for (const text of rawHeaders) bytes += text.length + 2;
+  return bytes;
+}
--- /dev/null
+++ b/packages/host-daemon/src/caller-request.ts
@@ -0,0 +1,41 @@
+import type * as protocol from '@camphorwharf/protocol';
+import type * as routing from '@camphorwharf/routing';
+
+/** A request that has a route, a key check behind it, and a deadline. */
+export interface CallerRequest {
+  readonly requestId: string;
+  readonly method: string;
+  /** In origin form: path and query, as the client sent it. */
+  readonly path: string;
+  /** Without headers of the hop, without the key and without own headers. */
+  readonly headers: protocol.HeaderList;
+  readonly body: Uint8Array | AsyncIterable<Uint8Array> | null;
+  readonly contentLength: number | null;
+  readonly route: routing.Route;
+  readonly service: string;
+  readonly organisation: routing.Organisation | null;
+  readonly nested: boolean;
+  readonly priority: number;
+  /** Monotonic time by which the final answer leaves. */
+  readonly deadlineMs: number;
+  readonly arrivedMs: number;
+  /** Aborted when the client has gone. */
+  readonly signal: AbortSignal;
+}
+
+/** What a caller is answered. */
+export type CallerAnswer =
+  | {
+      readonly kind: 'answer';
+      readonly status: number;
+      readonly headers: protocol.HeaderList;
+      readonly body: Uint8Array;
+    }
+  /** Not run, and never will be. */
+  | {
+      readonly kind: 'refused';
+      readonly reason: protocol.RefusalReasonName;
+      readonly retryAfterMs: number;
+    }
+  /** The request may have run. */
+  | {readonly kind: 'unknown'; readonly reason: protocol.UnknownReasonName};
--- /dev/null
+++ b/packages/host-daemon/src/host-daemon.ts
@@ -0,0 +1,326 @@
+import * as fleetLimits from '@camphorwharf/fleet-limits';
+import * as ownership from '@camphorwharf/ownership';
+import * as routing from '@camphorwharf/routing';
+import type * as runtime from '@camphorwharf/runtime';
+import * as runtimeValues from '@camphorwharf/runtime';
+import * as transport from '@camphorwharf/transport';
+import type * as http from 'node:http';
+import type * as callDialect from './call-dialect.js';
+import * as callerEndpoint from './caller-endpoint.js';
+import * as callerPath from './caller-path.js';
+import * as decisionLog from './decision-log.js';
+import * as fleetReports from './fleet-reports.js';
+import * as fleetState from './fleet-state.js';
+import * as localTarget from './local-target.js';
+import * as localTargetState from './local-target-state.js';
+import * as peerPath from './peer-path.js';
+import type * as publishedState from './published-state.js';
+import * as readinessServer from './readiness-server.js';
+import * as requestForwarder from './request-forwarder.js';
+
+/** Heartbeats of peer connections; fewer than the default, as each costs. */
+const PEER_HEARTBEAT_MS = 400;
+const PEER_SILENCE_MS = 1_300;
+
+const TICK_MS = 500;
+
+/** Connections to the backend server beyond its slots. */
+const SPARE_CONNECTIONS = 8;
+
+/**
+ * Clients are told to leave at once and have left after this time. New
+ * requests are taken until then.
+ */
+const DEPARTURE_MS = 2_600;
+
+/** What the stop leaves of its time limit for closing connections. */
+const STOP_MARGIN_MS = 400;
+
+export interface Endpoint {
+  readonly address: string;
+  readonly port: number;
+}
+
+export interface HostDaemonSettings {
+  readonly hostId: string;
+  readonly availabilityZone: string;
+  readonly service: string;
+  /** Where clients of this host and its backend server send requests. */
+  readonly callers: Endpoint;
+  readonly readiness: Endpoint;
+  readonly peers: Endpoint;
+  readonly metrics: Endpoint;
+  readonly backendServer: Endpoint;
+  readonly readinessPath: string;
+  readonly metricsPath: string;
+  /** Time for which a leaving backend server still serves. */
+  readonly drainMs: number;
+  /** Time from the signal to stop until the process is ended. */
+  readonly stopLimitMs: number;
+  readonly retryBudget: fleetLimits.RetryBudgetSettings;
+}
+
+export interface HostDaemonOptions {
+  readonly settings: HostDaemonSettings;
+  readonly clock: runtime.Clock;
+  readonly random: runtime.RandomSource;
+  readonly logger: runtime.Logger;
+  readonly metrics: runtime.Metrics;
+  readonly dialect: callDialect.CallDialect;
+  readonly decoder: publishedState.StateDecoder;
+  readonly reader: publishedState.StateReader;
+}
+
+/** The daemon of one host: wiring, readiness and the planned stop. */
+export class HostDaemon {
+  private readonly lifetime = new AbortController();
+  private readonly state: fleetState.FleetState;
+  private readonly members: fleetLimits.FleetMembers;
+  private readonly limits: fleetLimits.FleetRateLimits;
+  private readonly board: routing.TargetBoard;
+  private readonly targetState: localTargetState.LocalTargetState;
+  private readonly client: transport.WholeExchangeClient;
+  private readonly pool: transport.PeerPool;
+  private readonly listener: transport.PeerListener;
+  private readonly reports: fleetReports.FleetReports;
+  private readonly endpoint: callerEndpoint.CallerEndpoint;
+  private readonly servers: http.Server[] = [];
+  private stopping = false;
+
+  constructor(private readonly options: HostDaemonOptions) {
+    const {clock, logger, metrics, random, settings} = options;
+    const nowMs = clock.monotonicMs();
+    const incarnation = runtimeValues.randomIdentifier(random);
+    const ownAddress = settings.callers.address;
+    this.members = new fleetLimits.FleetMembers(ownAddress);
+    this.limits = new fleetLimits.FleetRateLimits(this.members, nowMs);
+    this.board = new routing.TargetBoard(settings.availabilityZone, random);
+    this.targetState = new localTargetState.LocalTargetState(
+      settings.service,
+      settings.backendServer.address,
+      settings.backendServer.port,
+      settings.drainMs,
+    );
+    this.state = new fleetState.FleetState({
+      decoder: options.decoder,
+      logger,
+      metrics,
+      onConfiguration: (configuration, changedMs) =>
+        this.applyConfiguration(configuration, changedMs),
+      onServers: changedMs => this.applyServers(changedMs),
+    });
+    this.client = new transport.WholeExchangeClient({
+      ...settings.backendServer,
+      nowMs: () => clock.monotonicMs(),
+      maximumConnections: () => this.targetState.slots + SPARE_CONNECTIONS,
+    });
+    const local = new localTarget.LocalTarget({
+      clock,
+      metrics,
+      dialect: options.dialect,
+      client: this.client,
+      state: this.targetState,
+    });
+    const peerOptions = {
+      clock,
+      logger,
+      metrics,
+      heartbeatIntervalMs: PEER_HEARTBEAT_MS,
+      silenceLimitMs: PEER_SILENCE_MS,
+      hello: {
+        hostId: settings.hostId,
+        incarnation,
+        service: settings.service,
+        availabilityZone: settings.availabilityZone,
+      },
+      handler: new peerPath.PeerPath({
+        clock,
+        service: settings.service,
+        incarnation,
+        local,
+        register: new ownership.CallRegister(),
+        reports: () => this.reports,
+      }),
+    };
+    this.pool = new transport.PeerPool(peerOptions);
+    this.listener = new transport.PeerListener(peerOptions);
+    this.reports = new fleetReports.FleetReports({
+      clock,
+      random,
+      logger,
+      state: this.state,
+      limits: this.limits,
+      board: this.board,
+      peers: this.pool,
+      peerPort: settings.peers.port,
+      ownAddress,
+      incarnation,
+      startedMs: nowMs,
+    });
+    const decisions = new decisionLog.DecisionLog(logger, metrics, clock);
+    const forwarder = new requestForwarder.RequestForwarder({
+      clock,
+      metrics,
+      decisions,
+      state: this.state,
+      board: this.board,
+      peers: this.pool,
+      peerPort: settings.peers.port,
+      ownAddress,
+      ownService: settings.service,
+      local,
+      retryBudget: settings.retryBudget,
+      hostCount: () => this.members.count,
+    });
+    const path = new callerPath.CallerPath({
+      clock,
+      random,
+      metrics,
+      decisions,
+      dialect: options.dialect,
+      state: this.state,
+      limits: this.limits,
+      forwarder,
+    });
+    this.endpoint = new callerEndpoint.CallerEndpoint({
+      logger,
+      metrics,
+      handler: request => path.handle(request),
+    });
+  }
+
+  /** Opens the ports and starts the tasks. Throws when a port is taken. */
+  async start(): Promise<void> {
+    const {logger, metrics, reader, settings} = this.options;
+    const {signal} = this.lifetime;
+    await this.listener.listen(settings.peers.port, settings.peers.address);
+    await this.endpoint.listen(settings.callers.port, settings.callers.address);
+    this.servers.push(
+      await readinessServer.serveResources(
+        {
+          [settings.readinessPath]: () =>
+            this.isReady
+              ? {status: 200, type: 'text/plain', text: 'ready\n'}
+              : {status: 503, type: 'text/plain', text: 'not ready\n'},
+        },
+        settings.readiness.port,
+        settings.readiness.address,
+      ),
+      await readinessServer.serveResources(
+        {
+          [settings.metricsPath]: async () => ({
+            status: 200,
+            type: 'text/plain; version=0.0.4; charset=utf-8',
+            text: await metrics.exposition(),
+          }),
+        },
+        settings.metrics.port,
+        settings.metrics.address,
+      ),
+    );
+    void this.watch('platform', reader.run(this.state, signal));
+    void this.watch('reports', this.reports.run(signal));
+    void this.watch('tick', this.tick(signal));
+    logger.info('daemon-started', {
+      hostId: settings.hostId,
+      service: settings.service,
+      availabilityZone: settings.availabilityZone,
+    });
+  }
+
+  get isReady(): boolean {
+    return !this.stopping && this.state.index !== null;
+  }
+
+  /**
+   * Takes over changed settings. Addresses and ports stay as they are until
+   * the next start.
+   */
+  applySettings(settings: HostDaemonSettings): void {
+    this.targetState.setDrainTime(settings.drainMs);
+    this.options.logger.info('settings-reloaded', {
+      drainMs: settings.drainMs,
+    });
+  }
+
+  /** Stops without cutting requests. Resolves when the process may end. */
+  async stop(): Promise<void> {
+    if (this.stopping) return;
+    this.stopping = true;
+    const {clock, logger, settings} = this.options;
+    const startedMs = clock.monotonicMs();
+    const endMs = startedMs + settings.stopLimitMs - STOP_MARGIN_MS;
+    logger.info('daemon-stopping', {running: this.endpoint.runningCount});
+    this.targetState.beginStop();
+    this.endpoint.beginStop();
+    this.reports.announceLeaving();
+    await clock.delay(Math.min(DEPARTURE_MS, endMs - clock.monotonicMs()));
+    const peersIdle = this.listener.closeWhenIdle();
+    while (this.endpoint.runningCount > 0 && clock.monotonicMs() < endMs) {
+      await clock.delay(20);
+    }
+    await Promise.race([
+      peersIdle,
+      clock.delay(Math.max(0, endMs - clock.monotonicMs())),
+    ]);
+    logger.info('daemon-stopped', {
+      cut: this.endpoint.runningCount,
+      afterMs: Math.round(clock.monotonicMs() - startedMs),
+    });
+    this.close();
+  }
+
+  /** Closes everything at once. */
+  close(): void {
+    this.lifetime.abort();
+    this.endpoint.close();
+    this.pool.close('daemon closed');
+    this.listener.close('daemon closed');
+    this.client.destroy();
+    for (const server of this.servers) {
+      server.close();
+      server.closeAllConnections();
+    }
+  }
+
+  private async tick(signal: AbortSignal): Promise<void> {
+    const {clock} = this.options;
+    while (!signal.aborted) {
+      await clock.delay(TICK_MS, signal);
+      const nowMs = clock.monotonicMs();
+      this.state.tick(nowMs);
+      this.limits.tick(nowMs);
+    }
+  }
+
+  private applyConfiguration(
+    configuration: routing.FleetConfiguration,
+    nowMs: number,
+  ): void {
+    this.endpoint.applyLimits(configuration.limits);
+    this.limits.configure(configuration.organisations, nowMs);
+    this.reports?.sendAll();
+  }
+
+  private applyServers(nowMs: number): void {
+    const {directory} = this.state;
+    this.targetState.update(directory, nowMs);
+    this.board.retain(instance => directory.get(instance) !== null);
+    this.members.setListed(
+      new Set(directory.servers().map(server => server.hostAddress)),
+      nowMs,
+    );
+  }
+
+  /** A task that fails is a fault of this program; the log names it. */
+  private async watch(task: string, running: Promise<void>): Promise<void> {
+    try {
+      await running;
+    } catch (error) {
+      this.options.logger.error('task-failed', {
+        task,
+        error: error instanceof Error ? (error.stack ?? error.message) : error,
+      });
+    }
+  }
+}
--- /dev/null
+++ b/packages/host-daemon/src/index.ts
@@ -0,0 +1,12 @@
+export type {CallDialect} from './call-dialect.js';
+export {HostDaemon} from './host-daemon.js';
+export type {
+  Endpoint,
+  HostDaemonOptions,
+  HostDaemonSettings,
+} from './host-daemon.js';
+export type {
+  StateDecoder,
+  StateListener,
+  StateReader,
+} from './published-state.js';
--- /dev/null
+++ b/packages/host-daemon/src/local-target-state.ts
@@ -0,0 +1,74 @@
+import type * as protocol from '@camphorwharf/protocol';
+import type * as routing from '@camphorwharf/routing';
+
+/** Slots that are assumed until the platform or the server tells them. */
+const INITIAL_SLOTS = 16;
+
+/**
+ * Part of the drain time for which a leaving backend server still gets the
+ * calls of senders that do not know yet.
+ */
+const DRAIN_SHARE = 0.6;
+
+/** What the daemon knows of the backend server of its own host. */
+export class LocalTargetState {
+  private knownInstance: string | null = null;
+  private removedSinceMs: number | null = null;
+  private drainingSinceMs: number | null = null;
+  private knownSlots = INITIAL_SLOTS;
+  private stopping = false;
+
+  constructor(
+    private readonly service: string,
+    private readonly address: string,
+    private readonly port: number,
+    private drainMs: number,
+  ) {}
+
+  setDrainTime(drainMs: number): void {
+    this.drainMs = drainMs;
+  }
+
+  get slots(): number {
+    return this.knownSlots;
+  }
+
+  get instance(): string | null {
+    return this.knownInstance;
+  }
+
+  /** Takes over what the platform lists for this host. */
+  update(directory: routing.BackendServerDirectory, nowMs: number): void {
+    const server = directory.at(this.address, this.port, this.service);
+    if (server) {
+      this.knownInstance = server.instance;
+      this.knownSlots = server.slots;
+      this.removedSinceMs = null;
+      this.drainingSinceMs = directory.drainingSince(server.instance);
+    } else if (this.knownInstance !== null) {
+      this.removedSinceMs ??= nowMs;
+    }
+  }
+
+  /** Takes over the slots that the backend server itself names. */
+  noteLoad(load: protocol.ReportedLoad | null): void {
+    if (load && load.slots > 0 && this.knownInstance === null) {
+      this.knownSlots = load.slots;
+    }
+  }
+
+  /** The daemon stops; senders choose other targets. */
+  beginStop(): void {
+    this.stopping = true;
+  }
+
+  get isStopping(): boolean {
+    return this.stopping;
+  }
+
+  /** Whether calls may still be given to the backend server. */
+  acceptsWork(nowMs: number): boolean {
+    const sinceMs = this.removedSinceMs ?? this.drainingSinceMs;
+    return sinceMs === null || nowMs - sinceMs < this.drainMs * DRAIN_SHARE;
+  }
+}
--- /dev/null
+++ b/packages/host-daemon/src/local-target.ts
@@ -0,0 +1,284 @@
+import * as admission from '@camphorwharf/admission';
+import type * as protocol from '@camphorwharf/protocol';
+import type * as runtime from '@camphorwharf/runtime';
+import * as transport from '@camphorwharf/transport';
+import type * as callDialect from './call-dialect.js';
+import type * as localTargetState from './local-target-state.js';
+
+/** Waiting calls are checked for their limits at this interval. */
+const ADVANCE_INTERVAL_MS = 20;
+
+/** A connection that was idle for longer may have been closed unseen. */
+const IDLE_LIMIT_MS = 4_000;
+
+/** The same for requests that cannot be sent again. */
+const UNSAFE_IDLE_LIMIT_MS = 1_000;
+
+/**
+ * The backend server answers at its deadline itself; its answer needs this
+ * long to arrive.
+ */
+const ANSWER_MARGIN_MS = 60;
+
+/** A call for the local backend server. */
+export interface TargetCall {
+  readonly method: string;
+  readonly path: string;
+  /** Without headers of the hop and without those that the dialect sets. */
+  readonly headers: protocol.HeaderList;
+  readonly body: Uint8Array | AsyncIterable<Uint8Array> | null;
+  readonly contentLength: number | null;
+  readonly requestId: string;
+  readonly instance: string;
+  readonly callerService: string;
+  readonly organisation: string | null;
+  readonly priority: number;
+  readonly nested: boolean;
+  readonly idempotent: boolean;
+  readonly remainingMs: number;
+  readonly objectiveMs: number;
+}
+
+export type TargetAnswer =
+  | {
+      readonly kind: 'answer';
+      readonly status: number;
+      readonly headers: protocol.HeaderList;
+      readonly body: Uint8Array;
+    }
+  /** The call has not run and never will. */
+  | {
+      readonly kind: 'refused';
+      readonly reason: protocol.RefusalReasonName;
+      readonly retryAfterMs: number;
+    }
+  | {
+      readonly kind: 'unknown';
+      readonly reason: protocol.UnknownReasonName;
+    };
+
+export interface LocalTargetOptions {
+  readonly clock: runtime.Clock;
+  readonly metrics: runtime.Metrics;
+  readonly dialect: callDialect.CallDialect;
+  readonly client: transport.WholeExchangeClient;
+  readonly state: localTargetState.LocalTargetState;
+}
+
+interface Waiter {
+  resolve(event: admission.SlotEvent<Waiter>): void;
+}
+
+/** Admits calls to the local backend server and carries them out. */
+export class LocalTarget {
+  private readonly slots: admission.SlotAdmission<Waiter>;
+  private timer: NodeJS.Timeout | null = null;
+
+  constructor(private readonly options: LocalTargetOptions) {
+    this.slots = new admission.SlotAdmission(options.state.slots);
+  }
+
+  get load(): protocol.ReportedLoad {
+    return {
+      running: this.slots.runningCount,
+      waiting: this.slots.queueLength,
+      slots: this.slots.slotCount,
+    };
+  }
+
+  /** Runs one call. `signal` aborts when its sender has given up. */
+  async run(call: TargetCall, signal: AbortSignal): Promise<TargetAnswer> {
+    const {clock, state} = this.options;
+    const arrivedMs = clock.monotonicMs();
+    if (!state.acceptsWork(arrivedMs)) return refused('targetLeaving', 0);
+    this.slots.setSlots(state.slots);
+    const deadlineMs = arrivedMs + call.remainingMs;
+    const verdict = await this.admit(call, deadlineMs, arrivedMs, signal);
+    if (verdict) return verdict;
+    const startedMs = clock.monotonicMs();
+    let completed = false;
+    try {
+      const answer = await this.exchange(call, deadlineMs - startedMs, signal);
+      completed = answer.kind === 'answer';
+      return answer;
+    } finally {
+      const nowMs = clock.monotonicMs();
+      this.settle(this.slots.finish(nowMs - startedMs, completed, nowMs));
+    }
+  }
+
+  /** Resolves with null when the call may start. */
+  private async admit(
+    call: TargetCall,
+    deadlineMs: number,
+    nowMs: number,
+    signal: AbortSignal,
+  ): Promise<TargetAnswer | null> {
+    const waiter: Waiter = {resolve: () => undefined};
+    const verdict = this.slots.offer(
+      waiter,
+      {
+        nested: call.nested,
+        priority: call.priority,
+        deadlineMs,
+        objectiveMs: call.objectiveMs,
+      },
+      nowMs,
+    );
+    switch (verdict.kind) {
+      case 'start':
+        return null;
+      case 'refuse':
+        return this.overloaded(verdict.reason, verdict.retryAfterMs);
+      case 'wait': {
+        const event = await this.wait(waiter, signal);
+        if (event === 'cancelled') return refused('cancelled', 0);
+        return event.kind === 'start'
+          ? null
+          : this.overloaded(event.reason, event.retryAfterMs);
+      }
+    }
+  }
+
+  private wait(
+    waiter: Waiter,
+    signal: AbortSignal,
+  ): Promise<admission.SlotEvent<Waiter> | 'cancelled'> {
+    this.startTimer();
+    return new Promise(resolve => {
+      const onAbort = () => {
+        if (this.slots.abandon(waiter)) resolve('cancelled');
+      };
+      waiter.resolve = event => {
+        signal.removeEventListener('abort', onAbort);
+        resolve(event);
+      };
+      if (signal.aborted) onAbort();
+      else signal.addEventListener('abort', onAbort);
+    });
+  }
+
+  private startTimer(): void {
+    this.timer ??= setInterval(() => {
+      this.settle(this.slots.advance(this.options.clock.monotonicMs()));
+      if (this.slots.queueLength === 0 && this.timer) {
+        clearInterval(this.timer);
+        this.timer = null;
+      }
+    }, ADVANCE_INTERVAL_MS);
+  }
+
+  private settle(events: ReadonlyArray<admission.SlotEvent<Waiter>>): void {
+    for (const event of events) event.ticket.resolve(event);
+  }
+
+  private async exchange(
+    call: TargetCall,
+    remainingMs: number,
+    signal: AbortSignal,
+  ): Promise<TargetAnswer> {
+    if (signal.aborted) return refused('cancelled', 0);
+    if (remainingMs <= 1) return refused('deadlineExpired', 0);
+    const running = this.options.client.send({
+      method: call.method,
+      path: call.path,
+      headers: this.backendHeaders(call, remainingMs),
+      body: call.body,
+      contentLength: call.contentLength,
+      maximumIdleMs: call.idempotent ? IDLE_LIMIT_MS : UNSAFE_IDLE_LIMIT_MS,
+    });
+    const cancel = () => running.cancel();
+    const timer = setTimeout(cancel, remainingMs + ANSWER_MARGIN_MS);
+    signal.addEventListener('abort', cancel);
+    const result = await running.result;
+    clearTimeout(timer);
+    signal.removeEventListener('abort', cancel);
+    return this.judge(call, result);
+  }
+
+  private backendHeaders(
+    call: TargetCall,
+    remainingMs: number,
+  ): protocol.HeaderList {
+    const {dialect} = this.options;
+    const headers = [
+      ...call.headers,
+      [dialect.deadlineHeader, String(Math.max(1, Math.floor(remainingMs)))],
+      [dialect.instanceHeader, call.instance],
+      [dialect.callerServiceHeader, call.callerService],
+    ] as Array<readonly [string, string]>;
+    if (call.organisation !== null) {
+      headers.push([dialect.organisationHeader, call.organisation]);
+    }
+    return headers;
+  }
+
+  /** Decides what an exchange proves. */
+  private judge(
+    call: TargetCall,
+    result: transport.WholeResult,
+  ): TargetAnswer {
+    const {dialect, state} = this.options;
+    switch (result.kind) {
+      case 'notSent':
+        return refused('targetUnavailable', 0);
+      case 'lost':
+        return {kind: 'unknown', reason: 'answerLost'};
+      case 'answer': {
+        const read = (name: string) =>
+          transport.headerValue(result.headers, name.toLowerCase());
+        const echoed = read(dialect.requestIdHeader);
+        if (echoed !== null && echoed !== call.requestId) {
+          this.countRejected('otherRequest');
+          return {kind: 'unknown', reason: 'answerLost'};
+        }
+        const load = read(dialect.loadHeader);
+        if (load !== null) state.noteLoad(dialect.parseLoad(load));
+        if (read(dialect.notRunHeader) !== null) {
+          const reason =
+            result.status === 421 ? 'targetUnavailable' : 'overloaded';
+          return refused(reason, this.slots.retryAfterMs());
+        }
+        if (result.status === 421) return refused('targetUnavailable', 0);
+        const isSuccess = result.status < 400;
+        const hasProof = read(dialect.proofHeader) !== null;
+        if (isSuccess && (!hasProof || read('content-encoding') !== null)) {
+          this.countRejected('unproven');
+          return {kind: 'unknown', reason: 'answerTruncated'};
+        }
+        const {status, headers, body} = result;
+        return {kind: 'answer', status, headers, body};
+      }
+    }
+  }
+
+  private overloaded(
+    cause: admission.SlotRefusal,
+    retryAfterMs: number,
+  ): TargetAnswer {
+    this.options.metrics.count(
+      'admission_refusals_total',
+      'Calls that the daemon of the target refused, by cause.',
+      {cause},
+    );
+    return refused(
+      cause === 'deadlineExpired' ? 'deadlineExpired' : 'overloaded',
+      retryAfterMs,
+    );
+  }
+
+  private countRejected(cause: string): void {
+    this.options.metrics.count(
+      'backend_answers_rejected_total',
+      'Answers of the backend server that were not passed on, by cause.',
+      {cause},
+    );
+  }
+}
+
+function refused(
+  reason: protocol.RefusalReasonName,
+  retryAfterMs: number,
+): TargetAnswer {
+  return {kind: 'refused', reason, retryAfterMs};
+}
--- /dev/null
+++ b/packages/host-daemon/src/readiness-server.ts
@@ -0,0 +1,35 @@
+import * as http from 'node:http';
+
+/** A text resource of a process. */
+export interface TextResource {
+  readonly status: number;
+  readonly type: string;
+  readonly text: string;
+}
+
+/** Serves small text resources by path, such as readiness and metrics. */
+export function serveResources(
+  resources: Readonly<Record<string, () => TextResource | Promise<TextResource>>>,
+  port: number,
+  address: string,
+): Promise<http.Server> {
+  const server = http.createServer((request, response) => {
+    request.resume();
+    const resource = resources[(request.url ?? '').split('?', 1)[0]];
+    const reply = async () => {
+      const {status, type, text} = resource
+        ? await resource()
+        : {status: 404, type: 'text/plain', text: 'Not found.\n'};
+      response.writeHead(status, {
+        'content-type': type,
+        'content-length': Buffer.byteLength(text),
+      });
+      response.end(text);
+    };
+    reply().catch(() => response.destroy());
+  });
+  return new Promise((resolve, reject) => {
+    server.once('error', reject);
+    server.listen(port, address, () => resolve(server));
+  });
+}
--- a/packages/protocol/src/frame-shapes.ts
+++ b/packages/protocol/src/frame-shapes.ts
@@ -46,6 +46,15 @@
   ['remainingMs', shape.isFinite],
 ]);
 
+const optional = (check: shape.Check): shape.Check => {
+  return value => value === undefined || check(value);
+};
+const isLoad = shape.fieldsOf([
+  ['running', shape.isCount],
+  ['waiting', shape.isCount],
+  ['slots', shape.isCount],
+]);
+
 const trailer: shape.Shape = [
   ['unspentRetries', shape.isCount],
   ['threshold', isThreshold],
@@ -87,6 +96,11 @@
       ['hasBody', shape.isBoolean],
       ['context', isContext],
       ['permission', isPermission],
+      ['wholeBody', optional(shape.isBytes)],
+      ['instance', optional(shape.isText)],
+      ['callerService', optional(shape.isText)],
+      ['objectiveMs', optional(shape.isAmount)],
+      ['nested', optional(shape.isBoolean)],
     ],
   ],
   [
@@ -115,6 +129,18 @@
       ['contentLength', shape.nullable(shape.isCount)],
     ],
   ],
+  [
+    'wholeAnswer',
+    [
+      ['call', shape.isCount],
+      ['attempt', shape.isCount],
+      ['status', isStatus],
+      ['headers', isHeaderList],
+      ['body', shape.isBytes],
+      ['load', optional(isLoad)],
+      ...trailer,
+    ],
+  ],
   [
     'answerBody',
     [
@@ -132,6 +158,8 @@
       ['call', shape.isCount],
       ['reason', shape.nameOf(outcomes.RefusalReason)],
       ['final', shape.isBoolean],
+      ['load', optional(isLoad)],
+      ['retryAfterMs', optional(shape.isAmount)],
       ...trailer,
     ],
   ],
@@ -144,4 +172,5 @@
     ],
   ],
   ['cancel', [['call', shape.isCount]]],
+  ['report', [['report', shape.isFields]]],
 ]);
--- a/packages/protocol/src/frames.ts
+++ b/packages/protocol/src/frames.ts
@@ -50,6 +50,16 @@
   readonly hasBody: boolean;
   readonly context: context.CallContext;
   readonly permission: SendPermission;
+  /** The whole body, when it is short enough to travel with the head. */
+  readonly wholeBody?: Uint8Array;
+  /** The backend server instance that alone may run the call. */
+  readonly instance?: string;
+  /** The service on whose host the call began. */
+  readonly callerService?: string;
+  /** Time in milliseconds within which an answer has its full value. */
+  readonly objectiveMs?: number;
+  /** Whether the call was made by a backend server that runs another call. */
+  readonly nested?: boolean;
 }
 /** A part of a request body; `last` ends it and states the total length. */
 export interface CallBody {
@@ -73,6 +83,27 @@
   readonly headers: HeaderList;
   readonly contentLength: number | null;
 }
+/** A whole answer in one frame. */
+export interface WholeAnswer {
+  readonly kind: 'wholeAnswer';
+  readonly call: number;
+  readonly attempt: number;
+  readonly status: number;
+  readonly headers: HeaderList;
+  readonly body: Uint8Array;
+  readonly unspentRetries: number;
+  readonly threshold: context.SheddingThreshold | null;
+  readonly load?: ReportedLoad;
+}
+/** What a target's daemon says of its backend server's load. */
+export interface ReportedLoad {
+  /** Calls that run, in this instant. */
+  readonly running: number;
+  /** Calls that wait in the daemon's queue. */
+  readonly waiting: number;
+  /** Calls that the backend server can run at once. */
+  readonly slots: number;
+}
 export interface AnswerBody {
   readonly kind: 'answerBody';
   readonly call: number;
@@ -93,6 +124,9 @@
   readonly final: boolean;
   readonly unspentRetries: number;
   readonly threshold: context.SheddingThreshold | null;
+  readonly load?: ReportedLoad;
+  /** When a repeat may succeed, in milliseconds. */
+  readonly retryAfterMs?: number;
 }
 export interface UnknownOutcome {
   readonly kind: 'unknownOutcome';
@@ -106,6 +140,11 @@
   readonly kind: 'cancel';
   readonly call: number;
 }
+/** A one-way message of the coordination layer, which checks its contents. */
+export interface Report {
+  readonly kind: 'report';
+  readonly report: Readonly<Record<string, unknown>>;
+}
 export interface Request {
   readonly kind: 'request';
   readonly request: number;
@@ -124,11 +163,13 @@
   | CallBody
   | CallCredit
   | AnswerHead
+  | WholeAnswer
   | AnswerBody
   | AnswerEnd
   | Refusal
   | UnknownOutcome
   | Cancel
+  | Report
   | Request
   | Reply;
 export type FrameKind = Frame['kind'];
--- /dev/null
+++ b/packages/routing/src/index.ts
@@ -0,0 +1,11 @@
+export {BackendServerDirectory} from './backend-server-directory.js';
+export type {
+  BackendServer,
+  BackendServerPhase,
+} from './backend-server-directory.js';
+export {ConfigurationIndex} from './configuration-index.js';
+export type {KeyVerdict} from './configuration-index.js';
+export type * from './fleet-configuration.js';
+export {TargetBoard} from './target-board.js';
+export type {TargetOutcome} from './target-board.js';
+export {WeightedSplit} from './weighted-split.js';
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -8,6 +8,7 @@
   TimeoutError,
 } from './errors.js';
 export {rendezvousOrder, sha256Hex, unitHash} from './hashing.js';
+export {LineWriter} from './line-writer.js';
 export {createLogger, LogLevel, silentLogger} from './logger.js';
 export type {LogFields, Logger, LogLevelName} from './logger.js';
 export {Metrics} from './metrics.js';
--- a/packages/runtime/src/logger.ts
+++ b/packages/runtime/src/logger.ts
@@ -19,10 +19,11 @@
   error(event: string, fields?: LogFields): void;
 }
 
-/** Creates a logger that writes JSON lines to standard error. */
+/** Creates a logger that writes JSON lines, by default to standard error. */
 export function createLogger(
   name: string,
   minimumLevel: LogLevelName = 'info',
+  write: (line: string) => void = line => process.stderr.write(line),
 ): Logger {
   const sink = new tslog.Logger<{event: string}>({
     name,
@@ -30,7 +31,7 @@
     minLevel: LogLevel[minimumLevel],
     hideLogPositionForProduction: true,
     overwrite: {
-      transportJSON: line => process.stderr.write(`${JSON.stringify(line)}\n`),
+      transportJSON: line => write(`${JSON.stringify(line)}\n`),
     },
   });
   return {
--- a/packages/transport/src/call-table.ts
+++ b/packages/transport/src/call-table.ts
@@ -24,6 +24,7 @@
   | protocol.CallBody
   | protocol.CallCredit
   | protocol.AnswerHead
+  | protocol.WholeAnswer
   | protocol.AnswerBody
   | protocol.AnswerEnd
   | protocol.Refusal
@@ -172,6 +173,11 @@
         if (!exchange) return null;
         return exchange.onAnswerHead(frame) || 'misrouted';
       }
+      case 'wholeAnswer': {
+        const exchange = this.outgoing.get(frame.call);
+        if (!exchange) return null;
+        return exchange.onWholeAnswer(frame) || 'misrouted';
+      }
       case 'answerBody': {
         const exchange = this.outgoing.get(frame.call);
         if (!exchange) return null;
--- a/packages/transport/src/incoming-exchange.ts
+++ b/packages/transport/src/incoming-exchange.ts
@@ -97,6 +97,26 @@
     this.finish();
   }
 
+  answerWhole(
+    head: {readonly status: number; readonly headers: protocol.HeaderList},
+    body: Uint8Array,
+    trailer: peer.AnswerTrailer,
+  ): void {
+    this.claimOutcome();
+    if (this.state !== 'open') return;
+    const {call, attempt} = this.head;
+    this.port.writer.write({
+      kind: 'wholeAnswer',
+      call,
+      attempt,
+      status: head.status,
+      headers: head.headers,
+      body,
+      ...trailer,
+    });
+    this.finish();
+  }
+
   refuse(
     reason: protocol.RefusalReasonName,
     final: boolean,
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -31,4 +31,11 @@
   PlatformClientOptions,
   PlatformValue,
 } from './platform-client.js';
-export {withoutHopHeaders} from './http-headers.js';
+export {headerValue, pairHeaders, withoutHopHeaders} from './http-headers.js';
+export {WholeExchangeClient} from './whole-exchange.js';
+export type {
+  RunningExchange,
+  WholeExchangeOptions,
+  WholeRequest,
+  WholeResult,
+} from './whole-exchange.js';
--- a/packages/transport/src/outgoing-exchange.ts
+++ b/packages/transport/src/outgoing-exchange.ts
@@ -96,6 +96,19 @@
     return true;
   }
 
+  onWholeAnswer(frame: protocol.WholeAnswer): boolean {
+    if (this.answer || frame.attempt !== this.attempt) return false;
+    this.finish();
+    this.resolveResult({
+      kind: 'whole',
+      status: frame.status,
+      headers: frame.headers,
+      body: frame.body,
+      ...trailerOf(frame),
+    });
+    return true;
+  }
+
   onAnswerBody(frame: protocol.AnswerBody): boolean {
     if (!this.answer) return false;
     const error = this.answer.push(frame.chunk);
@@ -180,5 +193,11 @@
 }
 
 function trailerOf(frame: peer.AnswerTrailer): peer.AnswerTrailer {
-  return {unspentRetries: frame.unspentRetries, threshold: frame.threshold};
+  const {unspentRetries, threshold, load, retryAfterMs} = frame;
+  return {
+    unspentRetries,
+    threshold,
+    ...(load === undefined ? {} : {load}),
+    ...(retryAfterMs === undefined ? {} : {retryAfterMs}),
+  };
 }
--- a/packages/transport/src/peer-connection.ts
+++ b/packages/transport/src/peer-connection.ts
@@ -24,7 +24,7 @@
   private readonly heartbeats: heartbeatLedger.HeartbeatLedger;
   private readonly calls: callTable.CallTable;
   private readonly requests: requestTable.RequestTable;
-  private readonly report: connectionReport.ConnectionReport;
+  private readonly connectionReport: connectionReport.ConnectionReport;
   private readonly lifetime = new AbortController();
   private remoteHello: protocol.Hello | null = null;
   private closeReason: options.CloseReasonName | null = null;
@@ -37,7 +37,7 @@
     initiator: boolean,
   ) {
     const {clock, handler, hello} = options;
-    this.report = new connectionReport.ConnectionReport(options, socket);
+    this.connectionReport = new connectionReport.ConnectionReport(options, socket);
     this.ended = new Promise(resolve => {
       this.resolveEnded = resolve;
     });
@@ -51,15 +51,15 @@
       budget: new bodyBudget.BodyBudget(options.maximumBufferedBytes),
       initiator,
       onCall: call => handler.onCall(call, this),
-      onDropped: cause => this.report.dropped(cause),
-      onHandlerError: error => this.report.handlerFailed('call', error),
+      onDropped: cause => this.connectionReport.dropped(cause),
+      onHandlerError: error => this.connectionReport.handlerFailed('call', error),
     });
     this.requests = new requestTable.RequestTable({
       writer: this.writer,
       clock,
       onRequest: body => handler.onRequest(body, this),
-      onDropped: cause => this.report.dropped(cause),
-      onHandlerError: error => this.report.handlerFailed('request', error),
+      onDropped: cause => this.connectionReport.dropped(cause),
+      onHandlerError: error => this.connectionReport.handlerFailed('request', error),
     });
     this.writer.write({
       kind: 'hello',
@@ -128,6 +128,10 @@
     );
   }
 
+  report(report: Readonly<Record<string, unknown>>): void {
+    if (!this.closed) this.writer.write({kind: 'report', report});
+  }
+
   close(reason: string): void {
     this.options.logger.debug('peer-close-requested', {reason});
     this.end('requested');
@@ -170,7 +174,7 @@
           if (this.remoteHello) this.dispatch(frame);
           else this.acceptHello(frame);
         }
-        this.report.unknownFrames(this.decoder.unknownFrames);
+        this.connectionReport.unknownFrames(this.decoder.unknownFrames);
       }
     } catch (error) {
       const malformed = error instanceof runtime.ProtocolError;
@@ -206,12 +210,12 @@
     const {calls, requests} = this;
     switch (frame.kind) {
       case 'hello':
-        this.report.dropped('duplicate');
+        this.connectionReport.dropped('duplicate');
         return;
       case 'heartbeat': {
         const nowMs = this.options.clock.monotonicMs();
         if (!this.heartbeats.receive(frame, nowMs)) {
-          this.report.dropped('duplicate');
+          this.connectionReport.dropped('duplicate');
         }
         return;
       }
@@ -223,6 +227,9 @@
       case 'request':
         requests.accept(frame);
         return;
+      case 'report':
+        this.options.handler.onReport?.(frame.report, this);
+        return;
       case 'unsupportedRequest':
         requests.rejectUnsupported(frame.request);
         return;
@@ -232,6 +239,7 @@
       case 'callBody':
       case 'callCredit':
       case 'answerHead':
+      case 'wholeAnswer':
       case 'answerBody':
       case 'answerEnd':
       case 'refusal':
@@ -257,7 +265,7 @@
         await inputPhase();
       }
       if (this.closed) return;
-      this.report.bytes();
+      this.connectionReport.bytes();
       const direction = this.heartbeats.silent(clock.monotonicMs(), limitMs);
       if (direction) this.end('silent', undefined, direction);
     }
@@ -285,7 +293,7 @@
     const failure = closedError(reason, error);
     this.calls.fail(failure);
     this.requests.fail(failure);
-    this.report.closed(reason, {
+    this.connectionReport.closed(reason, {
       ...(direction === undefined ? {} : {direction}),
       hostId: this.remoteHello?.hostId ?? null,
       address: this.socket.remoteAddress ?? null,
--- a/packages/transport/src/peer-interfaces.ts
+++ b/packages/transport/src/peer-interfaces.ts
@@ -14,6 +14,9 @@
 export interface AnswerTrailer {
   readonly unspentRetries: number;
   readonly threshold: protocol.SheddingThreshold | null;
+  readonly load?: protocol.ReportedLoad;
+  /** With a refusal: when a repeat may succeed, in milliseconds. */
+  readonly retryAfterMs?: number;
 }
 
 /** The result of a call as this end of the connection knows it. */
@@ -28,6 +31,13 @@
       /** Resolves after the last body byte; rejects when the body throws. */
       readonly trailer: Promise<AnswerTrailer>;
     }
+  | ({
+      /** An answer that came in one piece. */
+      readonly kind: 'whole';
+      readonly status: number;
+      readonly headers: protocol.HeaderList;
+      readonly body: Uint8Array;
+    } & AnswerTrailer)
   | ({
       readonly kind: 'refused';
       readonly reason: protocol.RefusalReasonName;
@@ -56,6 +66,8 @@
     body: AsyncIterable<Uint8Array> | null,
     options: OutgoingCallOptions,
   ): Promise<PeerResult>;
+  /** Sends a one-way message to the handler of the other end. */
+  report(report: Readonly<Record<string, unknown>>): void;
   /** Ends the connection; calls in flight are lost. */
   close(reason: string): void;
 }
@@ -79,6 +91,12 @@
     body: AsyncIterable<Uint8Array>,
     trailer: () => AnswerTrailer,
   ): Promise<void>;
+  /** Sends an answer in one frame; the body must fit into it. */
+  answerWhole(
+    head: {readonly status: number; readonly headers: protocol.HeaderList},
+    body: Uint8Array,
+    trailer: AnswerTrailer,
+  ): void;
   refuse(
     reason: protocol.RefusalReasonName,
     final: boolean,
@@ -97,6 +115,8 @@
     link: PeerLink,
   ): Promise<protocol.ControlReply>;
   onCall(call: IncomingCall, link: PeerLink): Promise<void>;
+  /** Takes a one-way message; a handler without it drops them. */
+  onReport?(report: Readonly<Record<string, unknown>>, link: PeerLink): void;
 }
 
 /** Connections to other daemons, opened on demand and kept. */
