--- a/packages/host-daemon/src/caller-endpoint.ts
+++ b/packages/host-daemon/src/caller-endpoint.ts
@@ -53,6 +53,8 @@
 export class CallerEndpoint {
   private readonly server: http.Server;
   private running = 0;
+  /** Connections with a request that has no complete answer. */
+  private readonly busy = new WeakSet<net.Socket>();
   private closing = false;
   private maximumHeaderBytes = PARSER_HEADER_BYTES;
 
@@ -115,10 +117,12 @@
     response: http.ServerResponse,
   ): Promise<void> {
     this.running++;
+    this.busy.add(request.socket);
     const controller = new AbortController();
     let finished = false;
     response.on('close', () => {
       this.running--;
+      this.busy.delete(request.socket);
       if (!finished) controller.abort();
     });
     response.on('finish', () => {
@@ -183,8 +187,7 @@
           ? 408
           : 400;
     // An answer here would be read as that of a request still at work.
-    const message = (socket as {_httpMessage?: unknown})._httpMessage;
-    if (message) {
+    if (this.busy.has(socket)) {
       socket.resetAndDestroy();
       return;
     }
