--- a/packages/host-daemon/src/local-target.ts
+++ b/packages/host-daemon/src/local-target.ts
@@ -4,6 +4,7 @@
 import * as transport from '@camphorwharf/transport';
 import type * as callDialect from './call-dialect.js';
 import type * as localTargetState from './local-target-state.js';
+import type * as targetCall from './target-call.js';
 
 /** Waiting calls are checked for their limits at this interval. */
 const ADVANCE_INTERVAL_MS = 20;
@@ -26,45 +27,6 @@
 /** Interval of the observations of the load. */
 const OBSERVATION_MS = 100;
 
-/** A call for the local backend server. */
-export interface TargetCall {
-  readonly method: string;
-  readonly path: string;
-  /** Without headers of the hop and without those that the dialect sets. */
-  readonly headers: protocol.HeaderList;
-  readonly body: Uint8Array | AsyncIterable<Uint8Array> | null;
-  readonly contentLength: number | null;
-  readonly requestId: string;
-  readonly instance: string;
-  readonly callerService: string;
-  readonly organisation: string | null;
-  readonly priority: number;
-  readonly nested: boolean;
-  readonly idempotent: boolean;
-  readonly remainingMs: number;
-  readonly objectiveMs: number;
-}
-
-export type TargetAnswer =
-  | {
-      readonly kind: 'answer';
-      readonly status: number;
-      readonly headers: protocol.HeaderList;
-      readonly body: Uint8Array;
-    }
-  /** The call has not run and never will. */
-  | {
-      readonly kind: 'refused';
-      readonly reason: protocol.RefusalReasonName;
-      readonly retryAfterMs: number;
-      /** Whether the backend server itself refused it. */
-      readonly byServer: boolean;
-    }
-  | {
-      readonly kind: 'unknown';
-      readonly reason: protocol.UnknownReasonName;
-    };
-
 export interface LocalTargetOptions {
   readonly clock: runtime.Clock;
   readonly metrics: runtime.Metrics;
@@ -114,9 +76,9 @@
 
   /** Runs one call. `signal` aborts when its sender has given up. */
   async run(
-    call: TargetCall,
+    call: targetCall.TargetCall,
     signal: runtime.CancelSignal,
-  ): Promise<TargetAnswer> {
+  ): Promise<targetCall.TargetAnswer> {
     const {clock, state} = this.options;
     const arrivedMs = clock.monotonicMs();
     if (!state.acceptsWork(arrivedMs)) return refused('targetLeaving', 0);
@@ -143,11 +105,11 @@
 
   /** Resolves with null when the call may start. */
   private async admit(
-    call: TargetCall,
+    call: targetCall.TargetCall,
     deadlineMs: number,
     nowMs: number,
     signal: runtime.CancelSignal,
-  ): Promise<TargetAnswer | null> {
+  ): Promise<targetCall.TargetAnswer | null> {
     const waiter: Waiter = {resolve: () => undefined};
     const verdict = this.slots.offer(
       waiter,
@@ -207,10 +169,10 @@
   }
 
   private async exchange(
-    call: TargetCall,
+    call: targetCall.TargetCall,
     remainingMs: number,
     signal: runtime.CancelSignal,
-  ): Promise<TargetAnswer> {
+  ): Promise<targetCall.TargetAnswer> {
     if (signal.aborted) return refused('cancelled', 0);
     if (remainingMs <= 1) return refused('deadlineExpired', 0);
     const running = this.options.client.send({
@@ -231,7 +193,7 @@
   }
 
   private backendHeaders(
-    call: TargetCall,
+    call: targetCall.TargetCall,
     remainingMs: number,
   ): protocol.HeaderList {
     const {dialect} = this.options;
@@ -248,7 +210,10 @@
   }
 
   /** Decides what an exchange proves. */
-  private judge(call: TargetCall, result: transport.WholeResult): TargetAnswer {
+  private judge(
+    call: targetCall.TargetCall,
+    result: transport.WholeResult,
+  ): targetCall.TargetAnswer {
     const {dialect, state} = this.options;
     switch (result.kind) {
       case 'notSent':
@@ -287,7 +252,7 @@
   private overloaded(
     cause: admission.SlotRefusal,
     retryAfterMs: number,
-  ): TargetAnswer {
+  ): targetCall.TargetAnswer {
     this.options.metrics.count(
       'admission_refusals_total',
       'Calls that the daemon of the target refused, by cause.',
@@ -312,7 +277,7 @@
   reason: protocol.RefusalReasonName,
   retryAfterMs: number,
   byServer = false,
-): TargetAnswer {
+): targetCall.TargetAnswer {
   return {kind: 'refused', reason, retryAfterMs, byServer};
 }
 
--- a/packages/host-daemon/src/peer-path.ts
+++ b/packages/host-daemon/src/peer-path.ts
@@ -4,6 +4,7 @@
 import type * as transport from '@camphorwharf/transport';
 import type * as fleetReports from './fleet-reports.js';
 import type * as localTarget from './local-target.js';
+import type * as targetCall from './target-call.js';
 
 /** Time for which a started call or a tombstone outlives its deadline. */
 const REGISTER_MARGIN_MS = 1_000;
@@ -113,7 +114,7 @@
 
   private async respond(
     call: transport.IncomingCall,
-    answer: localTarget.TargetAnswer,
+    answer: targetCall.TargetAnswer,
   ): Promise<void> {
     switch (answer.kind) {
       case 'answer': {
--- a/packages/host-daemon/src/request-forwarder.ts
+++ b/packages/host-daemon/src/request-forwarder.ts
@@ -6,7 +6,7 @@
 import type * as callerRequest from './caller-request.js';
 import type * as decisionLog from './decision-log.js';
 import type * as fleetState from './fleet-state.js';
-import type * as localTarget from './local-target.js';
+import type * as targetCall from './target-call.js';
 import type * as targetSender from './target-sender.js';
 
 /** Daemons that may refuse a request before it is refused to the client. */
@@ -133,7 +133,7 @@
 
   private mayContinue(
     request: callerRequest.CallerRequest,
-    result: localTarget.TargetAnswer,
+    result: targetCall.TargetAnswer,
     refusals: number,
     executions: number,
     budget: fleetLimits.FleetRetryBudget,
@@ -219,7 +219,7 @@
 
 function outcomeOf(
   request: callerRequest.CallerRequest,
-  result: localTarget.TargetAnswer,
+  result: targetCall.TargetAnswer,
 ): routing.TargetOutcome {
   if (request.signal.aborted) return 'cancelled';
   switch (result.kind) {
@@ -232,13 +232,13 @@
   }
 }
 
-function reasonOf(result: localTarget.TargetAnswer): string {
+function reasonOf(result: targetCall.TargetAnswer): string {
   return result.kind === 'answer' ? `status${result.status}` : result.reason;
 }
 
 function refused(
   reason: protocol.RefusalReasonName,
   retryAfterMs: number,
-): localTarget.TargetAnswer & {kind: 'refused'} {
+): targetCall.TargetAnswer & {kind: 'refused'} {
   return {kind: 'refused', reason, retryAfterMs, byServer: false};
 }
--- /dev/null
+++ b/packages/host-daemon/src/target-call.ts
@@ -0,0 +1,40 @@
+import type * as protocol from '@camphorwharf/protocol';
+
+/** A call for the local backend server. */
+export interface TargetCall {
+  readonly method: string;
+  readonly path: string;
+  /** Without headers of the hop and without those that the dialect sets. */
+  readonly headers: protocol.HeaderList;
+  readonly body: Uint8Array | AsyncIterable<Uint8Array> | null;
+  readonly contentLength: number | null;
+  readonly requestId: string;
+  readonly instance: string;
+  readonly callerService: string;
+  readonly organisation: string | null;
+  readonly priority: number;
+  readonly nested: boolean;
+  readonly idempotent: boolean;
+  readonly remainingMs: number;
+  readonly objectiveMs: number;
+}
+
+export type TargetAnswer =
+  | {
+      readonly kind: 'answer';
+      readonly status: number;
+      readonly headers: protocol.HeaderList;
+      readonly body: Uint8Array;
+    }
+  /** The call has not run and never will. */
+  | {
+      readonly kind: 'refused';
+      readonly reason: protocol.RefusalReasonName;
+      readonly retryAfterMs: number;
+      /** Whether the backend server itself refused it. */
+      readonly byServer: boolean;
+    }
+  | {
+      readonly kind: 'unknown';
+      readonly reason: protocol.UnknownReasonName;
+    };
--- a/packages/host-daemon/src/target-sender.ts
+++ b/packages/host-daemon/src/target-sender.ts
@@ -4,6 +4,7 @@
 import type * as transport from '@camphorwharf/transport';
 import type * as callerRequest from './caller-request.js';
 import type * as localTarget from './local-target.js';
+import type * as targetCall from './target-call.js';
 
 /** Longest time for which a target may start a call after it was sent. */
 const PERMISSION_LIFETIME_MS = 2_000;
@@ -25,7 +26,7 @@
 
 /** What one attempt at one target has shown. */
 export interface Attempt {
-  readonly result: localTarget.TargetAnswer;
+  readonly result: targetCall.TargetAnswer;
   readonly load: protocol.ReportedLoad | undefined;
   /** No byte of the call has reached the target's daemon. */
   readonly unreachable: boolean;
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -33,9 +33,9 @@
 } from './platform-client.js';
 export {headerValue, pairHeaders, withoutHopHeaders} from './http-headers.js';
 export {WholeExchangeClient} from './whole-exchange.js';
+export type {WholeExchangeOptions} from './whole-exchange.js';
 export type {
   RunningExchange,
-  WholeExchangeOptions,
   WholeRequest,
   WholeResult,
-} from './whole-exchange.js';
+} from './whole-handler.js';
--- a/packages/transport/src/whole-exchange.ts
+++ b/packages/transport/src/whole-exchange.ts
@@ -1,8 +1,8 @@
 import type * as net from 'node:net';
-import type * as protocol from '@camphorwharf/protocol';
 import * as runtime from '@camphorwharf/runtime';
 import * as undici from 'undici';
 import * as httpHeaders from './http-headers.js';
+import * as wholeHandler from './whole-handler.js';
 
 /** Connecting to a process on the same host takes a few milliseconds. */
 const CONNECT_TIMEOUT_MS = 1_000;
@@ -10,9 +10,6 @@
 /** An idle connection closes after this, unless the server names less. */
 const IDLE_TIMEOUT_MS = 8_000;
 
-/** Answers above this size end the exchange; it bounds memory. */
-const MAXIMUM_ANSWER_BYTES = 32 * 1024 * 1024;
-
 export interface WholeExchangeOptions {
   readonly address: string;
   readonly port: number;
@@ -22,40 +19,6 @@
   readonly maximumConnections: () => number;
 }
 
-export interface WholeRequest {
-  readonly method: string;
-  readonly path: string;
-  /** Sent as they are; the caller has removed the headers of the hop. */
-  readonly headers: protocol.HeaderList;
-  readonly body: Uint8Array | AsyncIterable<Uint8Array> | null;
-  /** Declared length of a streamed body; null sends it in chunked coding. */
-  readonly contentLength: number | null;
-  /**
-   * A connection that was idle for longer is not used, so that a request
-   * that cannot be repeated does not meet one that the server has dropped.
-   */
-  readonly maximumIdleMs: number;
-}
-
-/** What is known of a request to the backend server. */
-export type WholeResult =
-  | {
-      readonly kind: 'answer';
-      readonly status: number;
-      readonly headers: protocol.HeaderList;
-      readonly body: Uint8Array;
-    }
-  /** Certain: no byte of the request was written. */
-  | {readonly kind: 'notSent'; readonly error: Error}
-  /** The request may have been delivered. */
-  | {readonly kind: 'lost'; readonly error: Error};
-
-export interface RunningExchange {
-  readonly result: Promise<WholeResult>;
-  /** Closes the connection; the result is `lost` or `notSent`. */
-  cancel(): void;
-}
-
 interface Connection {
   readonly client: undici.Client;
   socket: net.Socket | null;
@@ -82,7 +45,7 @@
   }
 
   /** Starts one exchange. Its result never rejects. */
-  send(request: WholeRequest): RunningExchange {
+  send(request: wholeHandler.WholeRequest): wholeHandler.RunningExchange {
     const connection = this.take(request.maximumIdleMs);
     if (!connection) {
       const error = new runtime.ConnectionError(
@@ -93,7 +56,7 @@
         cancel: () => undefined,
       };
     }
-    const handler = new WholeHandler(
+    const handler = new wholeHandler.WholeHandler(
       () => connection.socket?.errored != null,
       reusable => this.release(connection, reusable),
     );
@@ -161,166 +124,3 @@
     connection.client.destroy().catch(() => undefined);
   }
 }
-
-class WholeHandler
-  implements undici.Dispatcher.DispatchHandler, RunningExchange
-{
-  readonly result: Promise<WholeResult>;
-  private resolve!: (result: WholeResult) => void;
-  private controller: undici.Dispatcher.DispatchController | null = null;
-  private status = 0;
-  private headers: protocol.HeaderList = [];
-  private lengthKnown = false;
-  private closes = false;
-  private chunks: Uint8Array[] = [];
-  private bytes = 0;
-  private settled = false;
-  private failure: Error | null = null;
-
-  constructor(
-    private readonly socketFailed: () => boolean,
-    private readonly release: (reusable: boolean) => void,
-  ) {
-    this.result = new Promise(resolve => {
-      this.resolve = resolve;
-    });
-  }
-
-  start(client: undici.Client, request: WholeRequest): void {
-    const headers = request.headers.flatMap(([name, value]) => [name, value]);
-    const streamed =
-      request.body !== null && !(request.body instanceof Uint8Array);
-    if (streamed && request.contentLength !== null) {
-      headers.push('content-length', String(request.contentLength));
-    }
-    try {
-      client.dispatch(
-        {
-          method: request.method as undici.Dispatcher.HttpMethod,
-          path: request.path,
-          headers,
-          // The types of the library lack iterables, its code takes them.
-          body: request.body as Uint8Array | null,
-        },
-        this,
-      );
-    } catch (error) {
-      this.fail(error instanceof Error ? error : new Error(String(error)));
-    }
-  }
-
-  cancel(): void {
-    this.fail(new runtime.ConnectionError('The request was cancelled.'));
-  }
-
-  /** Called directly before the first byte is written. */
-  onRequestStart(controller: undici.Dispatcher.DispatchController): void {
-    // The library would send a request again after some faults.
-    const again = this.controller !== null;
-    this.controller = controller;
-    if (again) {
-      this.fail(
-        new runtime.ConnectionError(
-          'The connection to the backend server ended during the request.',
-        ),
-      );
-    }
-    if (this.failure) controller.abort(this.failure);
-  }
-
-  onResponseStart(
-    controller: undici.Dispatcher.DispatchController,
-    status: number,
-  ): void {
-    if (status < 200) return;
-    this.status = status;
-    const headers = httpHeaders.pairHeaders(
-      controller.rawHeaders as Array<string | Uint8Array>,
-    );
-    this.lengthKnown =
-      status === 204 ||
-      status === 304 ||
-      httpHeaders.declaredLength(headers) !== null ||
-      httpHeaders.headerValue(headers, 'transfer-encoding') !== null;
-    this.closes =
-      httpHeaders
-        .headerValue(headers, 'connection')
-        ?.toLowerCase()
-        .includes('close') ?? false;
-    this.headers = headers;
-  }
-
-  onResponseData(
-    _controller: undici.Dispatcher.DispatchController,
-    chunk: Buffer,
-  ): void {
-    this.bytes += chunk.length;
-    if (this.bytes > MAXIMUM_ANSWER_BYTES) {
-      this.fail(
-        new runtime.ProtocolError(
-          `The answer exceeds ${MAXIMUM_ANSWER_BYTES} bytes. Let the backend ` +
-            'server answer in parts.',
-        ),
-      );
-      return;
-    }
-    this.chunks.push(chunk);
-  }
-
-  onResponseEnd(): void {
-    if (this.settled) return;
-    // The library takes a reset for the end of an answer that closes its
-    // connection, even where the answer is not complete.
-    if (this.socketFailed()) {
-      this.fail(
-        new runtime.ConnectionError(
-          'The connection was reset during an answer of the backend server.',
-        ),
-      );
-      return;
-    }
-    if (!this.lengthKnown) {
-      this.fail(
-        new runtime.ProtocolError(
-          'The answer has neither a length nor chunked coding, so that a cut ' +
-            'one cannot be told from a complete one. Let the backend server ' +
-            'declare the length.',
-        ),
-      );
-      return;
-    }
-    this.settled = true;
-    // One chunk may be a view of a large read buffer.
-    const body =
-      this.chunks.length === 1 ? this.chunks[0] : Buffer.concat(this.chunks);
-    this.release(!this.closes);
-    this.resolve({
-      kind: 'answer',
-      status: this.status,
-      headers: this.headers,
-      body,
-    });
-  }
-
-  onResponseError(
-    _controller: undici.Dispatcher.DispatchController,
-    cause: Error,
-  ): void {
-    this.fail(
-      new runtime.ConnectionError(
-        `The connection to the backend server failed: ${cause.message}. ` +
-          'Check that it runs.',
-        {cause},
-      ),
-    );
-  }
-
-  private fail(error: Error): void {
-    if (this.settled) return;
-    this.settled = true;
-    this.failure = error;
-    this.resolve({kind: this.controller ? 'lost' : 'notSent', error});
-    this.controller?.abort(error);
-    this.release(false);
-  }
-}
--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -14,7 +14,8 @@
 
 await esbuild.build({
   entryPoints: ['platform/src/main.ts'],
-  outfile: 'target/camphorwharfd.cjs',
+  // A test builds into a folder of its own.
+  outfile: process.argv[2] ?? 'target/camphorwharfd.cjs',
   bundle: true,
   platform: 'node',
   target: 'node20',
