--- /dev/null
+++ b/scripts/check-names.mjs
@@ -0,0 +1,46 @@
+// Fails when a file outside platform/ and deploy/ uses a name of the users'
+// platform. These names are decoded once, in platform/.
+import * as childProcess from 'node:child_process';
+
+const NAMES = [
+  'kv-(range|watch|key)',
+  'op/config',
+  'response-signature',
+  'not-executed',
+  'target-instance',
+  'instance-load',
+  'instance-id',
+  'tenant-id',
+  'request-deadline',
+  'app_addr',
+  'cold_remaining',
+  'max_concurrency',
+  'traffic_split',
+  'api_keys',
+  'rate_per_s',
+  'port_range',
+];
+
+const {status, stdout} = childProcess.spawnSync(
+  'git',
+  [
+    'grep',
+    '-niE',
+    `(^|[^a-z])(${NAMES.join('|')})([^a-z]|$)`,
+    '--',
+    '*.ts',
+    '*.js',
+    '*.mjs',
+    '*.cjs',
+    ':!platform',
+    ':!deploy',
+    ':!scripts/check-names.mjs',
+  ],
+  {encoding: 'utf8'},
+);
+if (status === 0) {
+  process.stderr.write(
+    `Names of the platform outside platform/; decode them there:\n${stdout}`,
+  );
+  process.exit(1);
+}
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -1,4 +1,4 @@
-// Runs every check in order: dependencies, format, types, lint, tests.
+// Runs every check in order: dependencies, format, types, lint, names, tests.
 import * as childProcess from 'node:child_process';
 import * as fs from 'node:fs';
 
@@ -12,6 +12,7 @@
 run('npx', 'prettier', '--check', '.');
 run('npx', 'tsc', '--build');
 run('npx', 'eslint', '.');
+run('node', 'scripts/check-names.mjs');
 const tests = childProcess.spawnSync('npx', ['ava', ...process.argv.slice(2)], {
   stdio: 'inherit',
 });
