--- a/packages/host-daemon/src/decision-log.ts
+++ b/packages/host-daemon/src/decision-log.ts
@@ -1,7 +1,7 @@
 import type * as runtime from '@camphorwharf/runtime';
 
 /** Lines a second that decisions on single requests may take. */
-const LINES_PER_SECOND = 40;
+const LINES_PER_SECOND = 20;
 
 /** Lines that may follow each other at once. */
 const BURST_LINES = 80;
--- a/packages/host-daemon/src/host-daemon.ts
+++ b/packages/host-daemon/src/host-daemon.ts
@@ -13,6 +13,7 @@
 import type * as hostDaemonOptions from './host-daemon-options.js';
 import * as localTarget from './local-target.js';
 import * as localTargetState from './local-target-state.js';
+import * as peerLinks from './peer-links.js';
 import * as peerPath from './peer-path.js';
 import * as readinessServer from './readiness-server.js';
 import * as requestForwarder from './request-forwarder.js';
@@ -98,7 +99,7 @@
       heartbeatIntervalMs: PEER_HEARTBEAT_MS,
       silenceLimitMs: PEER_SILENCE_MS,
       hello: {
-        hostId: settings.hostId,
+        hostId: ownAddress,
         incarnation,
         service: settings.service,
         availabilityZone: settings.availabilityZone,
@@ -114,6 +115,11 @@
     };
     this.pool = new transport.PeerPool(peerOptions);
     this.listener = new transport.PeerListener(peerOptions);
+    const peers = new peerLinks.PeerLinks({
+      ownAddress,
+      pool: this.pool,
+      accepted: () => this.listener.connections,
+    });
     this.reports = new fleetReports.FleetReports({
       clock,
       random,
@@ -121,7 +127,7 @@
       state: this.state,
       limits: this.limits,
       board: this.board,
-      peers: this.pool,
+      peers,
       peerPort: settings.peers.port,
       ownAddress,
       incarnation,
@@ -138,7 +144,7 @@
       board: this.board,
       sender: new targetSender.TargetSender({
         clock,
-        peers: this.pool,
+        peers,
         peerPort: settings.peers.port,
         ownAddress,
         ownService: settings.service,
--- a/packages/host-daemon/src/local-target.ts
+++ b/packages/host-daemon/src/local-target.ts
@@ -5,6 +5,7 @@
 import type * as callDialect from './call-dialect.js';
 import type * as localTargetState from './local-target-state.js';
 import type * as targetCall from './target-call.js';
+import * as timerSteps from './timer-steps.js';
 
 /** Waiting calls are checked for their limits at this interval. */
 const ADVANCE_INTERVAL_MS = 20;
@@ -184,7 +185,10 @@
       maximumIdleMs: call.idempotent ? IDLE_LIMIT_MS : UNSAFE_IDLE_LIMIT_MS,
     });
     const cancel = () => running.cancel();
-    const timer = setTimeout(cancel, remainingMs + ANSWER_MARGIN_MS);
+    const timer = setTimeout(
+      cancel,
+      timerSteps.inSteps(remainingMs + ANSWER_MARGIN_MS),
+    );
     signal.addEventListener('abort', cancel);
     const result = await running.result;
     clearTimeout(timer);
--- /dev/null
+++ b/packages/host-daemon/src/peer-links.ts
@@ -0,0 +1,40 @@
+import type * as transport from '@camphorwharf/transport';
+
+export interface PeerLinksOptions {
+  readonly ownAddress: string;
+  readonly pool: transport.PeerPool;
+  /** Connections that other daemons have opened to this one. */
+  readonly accepted: () => ReadonlySet<transport.PeerLink>;
+}
+
+/**
+ * One connection for each pair of daemons: the one with the lower address
+ * opens it and the other one uses it too, which halves the heartbeats. The
+ * name of a daemon on its connections is its address.
+ */
+export class PeerLinks implements transport.PeerDirectory {
+  constructor(private readonly options: PeerLinksOptions) {}
+
+  async connect(address: string, port: number): Promise<transport.PeerLink> {
+    const {ownAddress, pool} = this.options;
+    if (ownAddress > address) {
+      const accepted = this.acceptedFrom(address);
+      if (accepted) {
+        pool.release(address, port);
+        return accepted;
+      }
+    }
+    return pool.connect(address, port);
+  }
+
+  connectFresh(address: string, port: number): Promise<transport.PeerLink> {
+    return this.options.pool.connectFresh(address, port);
+  }
+
+  private acceptedFrom(address: string): transport.PeerLink | null {
+    for (const link of this.options.accepted()) {
+      if (!link.closed && link.remote.hostId === address) return link;
+    }
+    return null;
+  }
+}
--- a/packages/host-daemon/src/target-sender.ts
+++ b/packages/host-daemon/src/target-sender.ts
@@ -4,6 +4,7 @@
 import type * as transport from '@camphorwharf/transport';
 import type * as callerRequest from './caller-request.js';
 import type * as localTarget from './local-target.js';
+import * as timerSteps from './timer-steps.js';
 import type * as targetCall from './target-call.js';
 
 /** Longest time for which a target may start a call after it was sent. */
@@ -90,7 +91,10 @@
     if (remainingMs <= 1) return notStarted('deadlineExpired');
     const limit = new runtime.CancelSource();
     const abort = () => limit.abort();
-    const timer = setTimeout(abort, remainingMs + DEADLINE_MARGIN_MS);
+    const timer = setTimeout(
+      abort,
+      timerSteps.inSteps(remainingMs + DEADLINE_MARGIN_MS),
+    );
     if (request.signal.aborted) abort();
     else request.signal.addEventListener('abort', abort);
     const result = await link.call(
--- a/packages/transport/src/peer-connection.ts
+++ b/packages/transport/src/peer-connection.ts
@@ -266,7 +266,12 @@
     while (!this.closed) {
       const startedMs = clock.monotonicMs();
       this.writer.write(this.heartbeats.send(startedMs));
-      await clock.delay(intervalMs, this.lifetime.signal);
+      // All connections of a process beat at the same instants, so that many
+      // heartbeats leave in one turn of the event loop.
+      await clock.delay(
+        intervalMs - (startedMs % intervalMs),
+        this.lifetime.signal,
+      );
       // After a stall of this process, what waits in the kernel is read
       // before the other end is judged.
       if (clock.monotonicMs() - startedMs > 2 * intervalMs) {
--- a/packages/transport/src/peer-pool.ts
+++ b/packages/transport/src/peer-pool.ts
@@ -51,6 +51,12 @@
     return entry.opening;
   }
 
+  /** Closes the shared connection to a peer when its work is done. */
+  release(address: string, port: number): void {
+    const entry = this.entries.get(`${address}|${port}`);
+    if (entry?.connection) void entry.connection.closeWhenIdle();
+  }
+
   async connectFresh(
     address: string,
     port: number,
