--- a/packages/transport/src/peer-connection.ts
+++ b/packages/transport/src/peer-connection.ts
@@ -266,8 +266,7 @@
     while (!this.closed) {
       const startedMs = clock.monotonicMs();
       this.writer.write(this.heartbeats.send(startedMs));
-      // All connections of a process beat at the same instants, so that many
-      // heartbeats leave in one turn of the event loop.
+      // All connections of a process beat in the same turn of its event loop.
       await clock.delay(
         intervalMs - (startedMs % intervalMs),
         this.lifetime.signal,
