Count hosts as silent after a start until they report; leave more time to close at a stop

After a kill of all hosts each copy of the bucket refilled at the whole rate until the first reports; in virtual time with first reports after 0.9 s a window holds 499 of 320. Change: after its start a process takes only its own part until it hears the others, and reports as soon as it knows them. The new case stays within the bound. The margin of the stop grows from 400 to 700 ms.

--- a/packages/fleet-limits/src/fleet-members.ts
+++ b/packages/fleet-limits/src/fleet-members.ts
@@ -11,13 +11,18 @@
 export class FleetMembers {
   private readonly heardMs = new Map<string, number>();
   private readonly listedSinceMs = new Map<string, number>();
+  private hasList = false;
 
   constructor(private readonly ownHost: string) {}
 
   /** Takes over the listed hosts; this host always counts as listed. */
   setListed(hosts: ReadonlySet<string>, nowMs: number): void {
+    // After a start of this process nothing is known of the others' use, so
+    // they count as silent until they report. A host that joins later is new.
+    const sinceMs = this.hasList ? nowMs : -Infinity;
+    this.hasList = true;
     for (const host of hosts) {
-      if (!this.listedSinceMs.has(host)) this.listedSinceMs.set(host, nowMs);
+      if (!this.listedSinceMs.has(host)) this.listedSinceMs.set(host, sinceMs);
     }
     for (const host of this.listedSinceMs.keys()) {
       if (!hosts.has(host)) this.listedSinceMs.delete(host);
--- a/packages/fleet-limits/src/test/fleet-rate-limits_test.ts
+++ b/packages/fleet-limits/src/test/fleet-rate-limits_test.ts
@@ -38,6 +38,13 @@
       'all hosts killed and back at once',
       {kills: [{atMs: 7_000, hosts: everyHost, downMs: 800}]},
     ],
+    [
+      'all hosts killed, and slow to find each other again',
+      {
+        kills: [{atMs: 7_000, hosts: everyHost, downMs: 800}],
+        firstReportMs: 900,
+      },
+    ],
     [
       'half of the hosts killed, twice',
       {
--- a/packages/fleet-limits/src/test/fleet-simulation.ts
+++ b/packages/fleet-limits/src/test/fleet-simulation.ts
@@ -36,6 +36,8 @@
     readonly hosts: readonly number[];
     readonly downMs: number;
   }>;
+  /** How long a started host takes until its first report. */
+  readonly firstReportMs?: number;
   /** Hosts that are listed at a time; the default is all. */
   readonly listed?: (nowMs: number) => number;
 }
@@ -62,7 +64,8 @@
       startedMs: nowMs,
       fleet,
       limits,
-      reportMs: nowMs + ((index * 37) % REPORT_MS),
+      reportMs:
+        nowMs + (scenario.firstReportMs ?? 0) + ((index * 37) % REPORT_MS),
       upFromMs: nowMs,
     };
   };
--- a/packages/host-daemon/src/host-daemon.ts
+++ b/packages/host-daemon/src/host-daemon.ts
@@ -35,7 +35,7 @@
 const DEPARTURE_MS = 2_600;
 
 /** What the stop leaves of its time limit for closing connections. */
-const STOP_MARGIN_MS = 400;
+const STOP_MARGIN_MS = 700;
 
 /** The daemon of one host: wiring, readiness and the planned stop. */
 export class HostDaemon {
@@ -289,10 +289,13 @@
     const {directory} = this.state;
     this.targetState.update(directory, nowMs);
     this.board.retain(instance => directory.get(instance) !== null);
+    const before = this.members.count;
     this.members.setListed(
       new Set(directory.servers().map(server => server.hostAddress)),
       nowMs,
     );
+    // Hosts that have just learnt of each other share their use at once.
+    if (this.members.count > before) this.reports.sendAll();
   }
 
   /** A task that fails is a fault of this program; the log names it. */
