--- a/packages/host-daemon/src/caller-answers.ts
+++ b/packages/host-daemon/src/caller-answers.ts
@@ -6,6 +6,7 @@
 import type * as callerRequest from './caller-request.js';
 import type * as decisionLog from './decision-log.js';
 import type * as fleetState from './fleet-state.js';
+import type * as targetCall from './target-call.js';
 
 /** The part of its remaining time that a client waits at most. */
 const CLIENT_WAIT_SHARE = 0.3;
@@ -33,7 +34,7 @@
   /** Turns the outcome of a forwarded request into its answer. */
   conclude(
     request: callerRequest.CallerRequest,
-    answer: callerRequest.CallerAnswer,
+    answer: targetCall.TargetAnswer,
     remainingMs: number,
   ): callerEndpoint.EndpointAnswer | null {
     const {clock, metrics} = this.options;
--- a/packages/host-daemon/src/caller-request.ts
+++ b/packages/host-daemon/src/caller-request.ts
@@ -23,20 +23,3 @@
   /** Aborted when the client has gone. */
   readonly signal: runtime.CancelSignal;
 }
-
-/** What a caller is answered. */
-export type CallerAnswer =
-  | {
-      readonly kind: 'answer';
-      readonly status: number;
-      readonly headers: protocol.HeaderList;
-      readonly body: Uint8Array;
-    }
-  /** Not run, and never will be. */
-  | {
-      readonly kind: 'refused';
-      readonly reason: protocol.RefusalReasonName;
-      readonly retryAfterMs: number;
-    }
-  /** The request may have run. */
-  | {readonly kind: 'unknown'; readonly reason: protocol.UnknownReasonName};
--- a/packages/host-daemon/src/fleet-reports.ts
+++ b/packages/host-daemon/src/fleet-reports.ts
@@ -54,7 +54,6 @@
  */
 export class FleetReports {
   private leaving = false;
-  private readonly known = new Map<string, {incarnation: string}>();
   private querying = false;
 
   constructor(private readonly options: FleetReportsOptions) {}
@@ -112,10 +111,6 @@
       report.uses,
       nowMs,
     );
-    const known = this.known.get(report.host);
-    if (known?.incarnation !== report.incarnation) {
-      this.known.set(report.host, {incarnation: report.incarnation});
-    }
     for (const server of state.directory.servers()) {
       if (server.hostAddress !== report.host) continue;
       board.noteLeaving(server.instance, report.leaving);
--- a/packages/host-daemon/src/host-daemon.ts
+++ b/packages/host-daemon/src/host-daemon.ts
@@ -234,7 +234,6 @@
     const startedMs = clock.monotonicMs();
     const endMs = startedMs + settings.stopLimitMs - STOP_MARGIN_MS;
     logger.info('daemon-stopping', {running: this.endpoint.runningCount});
-    this.targetState.beginStop();
     this.endpoint.beginStop();
     this.reports.announceLeaving();
     await clock.delay(Math.min(DEPARTURE_MS, endMs - clock.monotonicMs()));
--- a/packages/host-daemon/src/local-target-state.ts
+++ b/packages/host-daemon/src/local-target-state.ts
@@ -19,7 +19,6 @@
   private removedSinceMs: number | null = null;
   private drainingSinceMs: number | null = null;
   private knownSlots = INITIAL_SLOTS;
-  private stopping = false;
   /** Instances that the backend server has denied to be. */
   private readonly denied = new Set<string>();
 
@@ -38,10 +37,6 @@
     return this.knownSlots;
   }
 
-  get instance(): string | null {
-    return this.knownInstance;
-  }
-
   /** Takes over what the platform lists for this host. */
   update(directory: routing.BackendServerDirectory, nowMs: number): void {
     const server = directory.at(this.address, this.port, this.service);
@@ -76,15 +71,6 @@
     }
   }
 
-  /** The daemon stops; senders choose other targets. */
-  beginStop(): void {
-    this.stopping = true;
-  }
-
-  get isStopping(): boolean {
-    return this.stopping;
-  }
-
   /** Whether calls may still be given to the backend server. */
   acceptsWork(nowMs: number): boolean {
     const sinceMs = this.removedSinceMs ?? this.drainingSinceMs;
--- a/packages/host-daemon/src/request-forwarder.ts
+++ b/packages/host-daemon/src/request-forwarder.ts
@@ -47,13 +47,13 @@
 
   async forward(
     request: callerRequest.CallerRequest,
-  ): Promise<callerRequest.CallerAnswer> {
+  ): Promise<targetCall.TargetAnswer> {
     const {clock} = this.options;
     const budget = this.budget(request.service);
     budget.noteFirstAttempt(clock.monotonicMs());
     const excluded = new Set<string>();
-    let doubt: callerRequest.CallerAnswer | null = null;
-    let last: callerRequest.CallerAnswer | null = null;
+    let doubt: targetCall.TargetAnswer | null = null;
+    let last: targetCall.TargetAnswer | null = null;
     let refusals = 0;
     let executions = 0;
     for (;;) {
--- a/packages/routing/src/backend-server-directory.ts
+++ b/packages/routing/src/backend-server-directory.ts
@@ -38,10 +38,6 @@
 
   constructor(private readonly absenceGraceMs: number) {}
 
-  get size(): number {
-    return this.listed.size;
-  }
-
   /** Every usable backend server. */
   servers(): BackendServer[] {
     return [...this.listed.values()].map(entry => entry.server);
