--- a/scripts/bundle.mjs
+++ b/scripts/bundle.mjs
@@ -12,6 +12,17 @@
   },
 };
 
+// Takes the packages of the workspace from their sources, so that a build
+// leaves nothing outside target/.
+const workspaceSources = {
+  name: 'workspace-sources',
+  setup(build) {
+    build.onResolve({filter: /^@camphorwharf\//}, ({path: name}) => ({
+      path: path.resolve('packages', name.split('/')[1], 'src/index.ts'),
+    }));
+  },
+};
+
 await esbuild.build({
   entryPoints: ['platform/src/main.ts'],
   // A test builds into a folder of its own.
@@ -20,6 +31,6 @@
   platform: 'node',
   target: 'node20',
   format: 'cjs',
-  plugins: [undiciParts],
+  plugins: [undiciParts, workspaceSources],
   logLevel: 'warning',
 });
