Forget the demand of hosts that left, and debit a process's earlier use only once

A host that hears another one for the first time debited all that it had used since its start, although the level that it began with held that already; and the demand of a host that left the list stayed in the sum for ever. Ruled out: the store (platform-lost lines do not grow) and shedding (the refusals are 429, not 503). Change: the first report of a process is debited only if the process is younger than this one; a host that is not listed has no demand.

--- a/packages/fleet-limits/src/fleet-members.ts
+++ b/packages/fleet-limits/src/fleet-members.ts
@@ -59,6 +59,10 @@
     return nowMs - listedMs >= JOINING_MS;
   }
 
+  isListed(host: string): boolean {
+    return this.listedSinceMs.has(host);
+  }
+
   /** The part of the listed hosts that this host hears, itself included. */
   heardShare(nowMs: number): number {
     const {count} = this;
--- a/packages/fleet-limits/src/fleet-rate-limits.ts
+++ b/packages/fleet-limits/src/fleet-rate-limits.ts
@@ -156,7 +156,7 @@
         : 0;
     reporter.silentSinceMs = null;
     for (const report of reports) {
-      this.learnOne(reporter, report, isNew, silentMs, nowMs);
+      this.learnOne(reporter, report, isNew, ageMs, silentMs, nowMs);
     }
     this.adoptLevels(ageMs, reports, nowMs);
     this.sumDemands();
@@ -165,9 +165,13 @@
   /** Notes which hosts have fallen silent; called about once a second. */
   tick(nowMs: number): void {
     for (const [host, reporter] of this.reporters) {
-      if (!this.fleet.isSilent(host, nowMs)) continue;
-      if (reporter.silentSinceMs !== null) continue;
-      reporter.silentSinceMs = nowMs;
+      // A host that has left the list uses nothing more. Its counts stay, so
+      // that its use is not debited again if it returns.
+      if (this.fleet.isListed(host)) {
+        if (!this.fleet.isSilent(host, nowMs)) continue;
+        if (reporter.silentSinceMs !== null) continue;
+        reporter.silentSinceMs = nowMs;
+      }
       for (const [organisation, use] of reporter.uses) {
         const limit = this.limits.get(organisation);
         if (limit) this.presume(limit, use, nowMs);
@@ -199,6 +203,7 @@
     reporter: Reporter,
     report: UseReport,
     isNew: boolean,
+    ageMs: number,
     silentMs: number,
     nowMs: number,
   ): void {
@@ -211,8 +216,10 @@
         servedTime: limit?.bucket.servedTime ?? 0,
         presumed: 0,
       });
-      // What a process used before its first report is in its peers' levels.
-      if (isNew && limit && this.adopted) limit.bucket.debit(report.used);
+      // The use of a process that is older than this one is in the level that
+      // this one has started from.
+      const isYounger = ageMs < nowMs - this.startedMs;
+      if (isNew && isYounger && limit) limit.bucket.debit(report.used);
       return;
     }
     if (limit) {
--- a/packages/fleet-limits/src/test/fleet-rate-limits_test.ts
+++ b/packages/fleet-limits/src/test/fleet-rate-limits_test.ts
@@ -83,6 +83,24 @@
         host === (nowMs < 10_000 ? 0 : HOSTS - 1) ? 25 : 0,
     },
   ],
+  [
+    'half of the hosts leave, the others take over their requests',
+    {
+      demand: (_, nowMs) => 35 / (nowMs < 6_000 ? HOSTS : HOSTS / 2),
+      listed: nowMs => (nowMs < 6_000 ? HOSTS : HOSTS / 2),
+    },
+  ],
+  [
+    'each host is restarted, one after the other',
+    {
+      demand: () => 25 / HOSTS,
+      kills: everyHost.map(host => ({
+        atMs: 3_000 + host * 1_000,
+        hosts: [host],
+        downMs: 800,
+      })),
+    },
+  ],
   [
     'one host of the fleet is silent',
     {
