--- a/packages/host-daemon/src/caller-answers.ts
+++ b/packages/host-daemon/src/caller-answers.ts
@@ -18,6 +18,12 @@
 const UNKNOWN_STATUS = 502;
 const TIMEOUT_STATUS = 504;
 
+/** What is known of a request when it is refused. */
+export type RefusedSubject = Pick<
+  callerRequest.CallerRequest,
+  'route' | 'service' | 'organisation' | 'nested'
+>;
+
 export interface CallerAnswersOptions {
   readonly clock: runtime.Clock;
   readonly random: runtime.RandomSource;
@@ -115,7 +121,7 @@
     remainingMs: number,
     arrivedMs: number,
     retryAfterMs = 0,
-    request: callerRequest.CallerRequest | null = null,
+    subject: RefusedSubject | null = null,
   ): callerEndpoint.EndpointAnswer {
     const {clock, metrics, random, state} = this.options;
     metrics.count(
@@ -127,10 +133,10 @@
     this.options.decisions.note('request-refused', {
       requestId,
       reason,
-      route: request?.route.name ?? null,
-      service: request?.service ?? null,
-      organisation: request?.organisation?.name ?? null,
-      nested: request?.nested ?? null,
+      route: subject?.route.name ?? null,
+      service: subject?.service ?? null,
+      organisation: subject?.organisation?.name ?? null,
+      nested: subject?.nested ?? null,
       elapsedMs: Math.round(elapsedMs),
       retryAfterMs: Math.round(retryAfterMs),
       configuration: state.version,
--- a/packages/host-daemon/src/caller-path.ts
+++ b/packages/host-daemon/src/caller-path.ts
@@ -121,6 +121,7 @@
         remainingMs,
         arrivedMs,
         route.objectiveMs * SHED_RETURN_SHARE,
+        {route, service, organisation, nested},
       );
     }
     if (organisation) {
@@ -132,6 +133,7 @@
           remainingMs,
           arrivedMs,
           granted.retryAfterMs,
+          {route, service, organisation, nested},
         );
       }
     }
--- a/packages/host-daemon/src/test/fleet-fixture.ts
+++ b/packages/host-daemon/src/test/fleet-fixture.ts
@@ -52,6 +52,8 @@
   readonly daemon: hostDaemon.HostDaemon;
   /** Requests that reached the backend server. */
   readonly seen: Array<{path: string; headers: http.IncomingHttpHeaders}>;
+  /** Log lines of the daemon. */
+  readonly logged: Array<{event: string; fields?: runtime.LogFields}>;
   behaviour: Behaviour;
   readonly backendServer: http.Server;
 }
@@ -227,6 +229,7 @@
     const [callers, readiness, peers, metrics] = ports;
     this.callerPort = callers;
     const seen: FixtureHost['seen'] = [];
+    const logged: FixtureHost['logged'] = [];
     const backendServer = http.createServer((request, response) => {
       let body = '';
       request.setEncoding('utf8');
@@ -260,7 +263,10 @@
       },
       clock: new runtime.SystemClock(),
       random: new runtime.SeededRandom(this.hosts.length + 1),
-      logger: runtime.silentLogger,
+      logger: {
+        ...runtime.silentLogger,
+        info: (event, fields) => void logged.push({event, fields}),
+      },
       metrics: new runtime.Metrics(),
       dialect: DIALECT,
       decoder: DECODER,
@@ -277,6 +283,7 @@
       address,
       daemon,
       seen,
+      logged,
       behaviour: (request, response) =>
         answerWell(request, response, `from ${address}`),
       backendServer,
--- a/packages/host-daemon/src/test/host-daemon_test.ts
+++ b/packages/host-daemon/src/test/host-daemon_test.ts
@@ -64,6 +64,22 @@
   });
 }
 
+test('a refusal by the limit names the organisation in the log', async t => {
+  // Guards against a refusal that nobody can explain afterwards.
+  const fixture = await fixtures.FleetFixture.start(1);
+  const [host] = fixture.hosts;
+  fixture.publish(1, {}, {ratePerSecond: 0.001, burst: 0.5});
+  fixture.list();
+  const answer = await fixture.request(host, '/parts/7');
+  fixture.close();
+  t.is(answer.status, 429);
+  t.truthy(answer.headers['retry-after']);
+  const line = host.logged.find(({event}) => event === 'request-refused');
+  t.is(line?.fields?.organisation, 'saloum-mills');
+  t.is(line?.fields?.requestId, 'request-1');
+  t.is(line?.fields?.route, 'parts');
+});
+
 /** Guards against a false success when a backend server misbehaves. */
 const FAULTS: ReadonlyArray<
   readonly [string, boolean, fixtures.Behaviour, number, number]
