Refuse requests that arrive too late in a planned stop to be finished

A request that arrived 3.3 s after SIGTERM was begun and cut 2 s later at the end of the stop. Ruled out: the peer connections, which were open until then. Change: after its departure time a stopping daemon answers 503, not run. The test failed first.

--- a/packages/host-daemon/src/caller-path.ts
+++ b/packages/host-daemon/src/caller-path.ts
@@ -29,6 +29,8 @@
   /** Pressure below the services that requests of this host go to. */
   readonly entry: admission.PressureTable;
   readonly forwarder: requestForwarder.RequestForwarder;
+  /** Whether the planned stop leaves no time to finish a new request. */
+  readonly hasDeparted: () => boolean;
 }
 
 /** The path of a request from its arrival at this host to its answer. */
@@ -60,6 +62,9 @@
     const arrivedMs = this.options.clock.monotonicMs();
     const requestId = this.single(incoming, this.requestIdName) ?? '';
     const {index} = this.options.state;
+    if (this.options.hasDeparted()) {
+      return this.answers.refuse(requestId, 'targetLeaving', 0, arrivedMs);
+    }
     if (!index) {
       return this.answers.refuse(requestId, 'documentMissing', 0, arrivedMs);
     }
--- a/packages/host-daemon/src/host-daemon.ts
+++ b/packages/host-daemon/src/host-daemon.ts
@@ -53,6 +53,7 @@
   private readonly endpoint: callerEndpoint.CallerEndpoint;
   private readonly servers: http.Server[] = [];
   private stopping = false;
+  private departed = false;
 
   constructor(private readonly options: hostDaemonOptions.HostDaemonOptions) {
     const {clock, logger, metrics, random, settings} = options;
@@ -163,6 +164,7 @@
       limits: this.limits,
       entry,
       forwarder,
+      hasDeparted: () => this.departed,
     });
     this.endpoint = new callerEndpoint.CallerEndpoint({
       logger,
@@ -237,6 +239,7 @@
     this.endpoint.beginStop();
     this.reports.announceLeaving();
     await clock.delay(Math.min(DEPARTURE_MS, endMs - clock.monotonicMs()));
+    this.departed = true;
     const peersIdle = this.listener.closeWhenIdle();
     while (this.endpoint.runningCount > 0 && clock.monotonicMs() < endMs) {
       await clock.delay(20);
--- a/packages/host-daemon/src/test/host-daemon_test.ts
+++ b/packages/host-daemon/src/test/host-daemon_test.ts
@@ -257,6 +257,31 @@
   t.is(after.status, 401, 'an older version does not return');
 });
 
+test('a stop refuses what arrives too late to be finished', async t => {
+  // Guards against a request that is begun after the departure of a daemon
+  // and cut at the end of its stop.
+  const fixture = await fleet(1, {idempotent: false, timeoutMs: 5_000});
+  const [host] = fixture.hosts;
+  host.behaviour = (request, response) =>
+    void setTimeout(
+      () => fixtures.answerWell(request, response, 'whole'),
+      3_300,
+    );
+  const longDeadline = {'x-remaining': '5000'};
+  const running = fixture.request(host, '/parts/7', {headers: longDeadline});
+  await until(() => host.seen.length > 0);
+  const stopped = host.daemon.stop();
+  await new Promise(resolve => setTimeout(resolve, 2_900));
+  const late = await fixture.request(host, '/parts/8', {
+    headers: {...longDeadline, 'x-request': 'request-2'},
+  });
+  t.is(late.status, 503);
+  t.is((await running).body, 'whole');
+  await stopped;
+  fixture.close();
+  t.is(host.seen.length, 1);
+});
+
 test('a stop finishes what runs and takes no new work', async t => {
   const fixture = await fleet(2, {idempotent: false});
   const [leaving, other] = fixture.hosts;
--- a/scripts/test.mjs
+++ b/scripts/test.mjs
@@ -12,7 +12,7 @@
 run('npx', 'prettier', '--check', '.');
 run('npx', 'tsc', '--build');
 run('npx', 'eslint', '.');
-run('node', 'scripts/check-names.mjs');
+run('node', 'platform/check-names.mjs');
 const tests = childProcess.spawnSync('npx', ['ava', ...process.argv.slice(2)], {
   stdio: 'inherit',
 });
