Report a time limit as such when it ends within an answer

Ruled out: the stand-in server, which keeps the connection open. Change: the time limit's own signal tells the cause. The new test lets the head arrive in any case and failed before the change.

--- a/packages/command-line/src/daemon-client.ts
+++ b/packages/command-line/src/daemon-client.ts
@@ -82,12 +82,28 @@
   method: 'GET' | 'POST',
   path: string,
   timeoutMs: number,
+): Promise<HttpAnswer> {
+  const limit = AbortSignal.timeout(timeoutMs);
+  try {
+    return await exchangeUntil(limit, address, method, path);
+  } catch (error) {
+    // An abort surfaces as an abort or as a reset, whichever part of the
+    // exchange sees it first; the signal tells the cause.
+    throw limit.aborted ? limit.reason : error;
+  }
+}
+
+async function exchangeUntil(
+  limit: AbortSignal,
+  address: string,
+  method: 'GET' | 'POST',
+  path: string,
 ): Promise<HttpAnswer> {
   // fetch() is not used: it refuses to connect to some ports.
   const request = http.request(`http://${address}${path}`, {
     method,
     agent: false,
-    signal: AbortSignal.timeout(timeoutMs),
+    signal: limit,
   });
   request.end();
   const response = await new Promise<http.IncomingMessage>(
@@ -114,8 +130,12 @@
 
 function describeError(error: unknown, timeoutMs: number): string {
   if (error instanceof runtime.ProtocolError) return error.message;
-  const code = sourceFiles.errorCode(error);
-  return code === 'ABORT_ERR'
+  return isTimeout(error)
     ? `no answer within ${timeoutMs} ms`
-    : `no answer (${code})`;
+    : `no answer (${sourceFiles.errorCode(error)})`;
+}
+
+/** Whether the error is the reason of an ended `AbortSignal.timeout`. */
+function isTimeout(error: unknown): boolean {
+  return error instanceof DOMException && error.name === 'TimeoutError';
 }
--- a/packages/command-line/src/test/command-line_test.ts
+++ b/packages/command-line/src/test/command-line_test.ts
@@ -253,6 +253,19 @@
   });
 }
 
+test('a daemon that goes silent in the middle of its answer is given up', async t => {
+  // Guards against a time limit that is reported as a reset: once the head of
+  // the answer has arrived, the response sees the closed connection first.
+  const server = http.createServer((_request, response) => {
+    response.writeHead(200).write('{');
+  });
+  const address = await listen(t, server);
+  t.deepEqual(await daemonClient.fetchStatus(address, 1_000), {
+    ok: false,
+    message: 'no answer within 1000 ms',
+  });
+});
+
 /** Starts an operator endpoint; one that is gone closes each connection. */
 async function serve(
   t: {teardown(close: () => void): void},
