Refuse requests at the entry of a process that has no time for them

Ruled out: the slots of the first service (their daemons refuse within milliseconds) and the pressure from below, which comes with answers. Change: a process whose event loop is late in three observations sheds its own requests by priority, before any work is done for them. The test failed first.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -15,5 +15,6 @@
   SlotRequest,
   SlotVerdict,
 } from './slot-admission.js';
+export {SustainedLag} from './sustained-lag.js';
 export {TargetAdmission} from './target-admission.js';
 export {Thresholds} from './threshold-table.js';
--- a/packages/admission/src/test/pressure_test.ts
+++ b/packages/admission/src/test/pressure_test.ts
@@ -2,6 +2,7 @@
 import * as pressureControl from '../pressure-control.js';
 import * as pressureTable from '../pressure-table.js';
 import * as priorityMix from '../priority-mix.js';
+import * as sustainedLag from '../sustained-lag.js';
 import * as chainSimulation from './chain-simulation.js';
 
 /** A backend server that runs `capacity` calls of 100 ms at once. */
@@ -144,3 +145,17 @@
     t.is(control.value, 0);
   }
 });
+
+const LAGS: ReadonlyArray<readonly [string, readonly number[], number]> = [
+  ['one pause is no lag', [0, 500, 0], 0],
+  ['two late observations are not enough', [0, 500, 500], 0],
+  ['three late observations count by the least late one', [90, 60, 80], 60],
+  ['nothing is said before the third observation', [500, 500], 0],
+];
+for (const [name, lags, expected] of LAGS) {
+  test(`event loop: ${name}`, t => {
+    // Guards against requests refused for a pause that has ended.
+    const lag = new sustainedLag.SustainedLag();
+    t.is(lags.map(one => lag.note(one)).at(-1), expected);
+  });
+}
--- a/packages/host-daemon/src/caller-path.ts
+++ b/packages/host-daemon/src/caller-path.ts
@@ -28,6 +28,8 @@
   readonly limits: fleetLimits.FleetRateLimits;
   /** Pressure below the services that requests of this host go to. */
   readonly entry: admission.PressureTable;
+  /** Pressure of this process, which is late when it has too much to do. */
+  readonly ownPressure: () => number;
   readonly forwarder: requestForwarder.RequestForwarder;
   /** Whether the planned stop leaves no time to finish a new request. */
   readonly hasDeparted: () => boolean;
@@ -179,14 +181,14 @@
   }
 
   /**
-   * Whether to refuse a request that would add to an overload below its
-   * service, before any work is done for it.
+   * Whether to refuse a request that would add to an overload of this process
+   * or of a service below its own, before any work is done for it.
    */
   private isShed(service: string, priority: number): boolean {
-    const {clock, entry, random} = this.options;
+    const {clock, entry, ownPressure, random} = this.options;
     const nowMs = clock.monotonicMs();
     this.mix.note(priority, nowMs);
-    const pressure = entry.of(service, nowMs);
+    const pressure = Math.max(entry.of(service, nowMs), ownPressure());
     if (pressure === 0) return false;
     const mix = this.mix.shares(nowMs);
     return random.next() < admission.refusedShare(pressure, priority, mix);
--- a/packages/host-daemon/src/host-daemon.ts
+++ b/packages/host-daemon/src/host-daemon.ts
@@ -170,6 +170,7 @@
       state: this.state,
       limits: this.limits,
       entry,
+      ownPressure: () => local.observer.processPressure,
       forwarder,
       hasDeparted: () => this.departed,
     });
@@ -212,7 +213,7 @@
     void this.watch('platform', reader.run(this.state, signal));
     void this.watch('reports', this.reports.run(signal));
     void this.watch('tick', this.tick(signal));
-    void this.watch('load', this.local.observe(signal));
+    void this.watch('load', this.local.observer.run(signal));
     const {availabilityZone, hostId, service} = settings;
     logger.info('daemon-started', {hostId, service, availabilityZone});
   }
--- /dev/null
+++ b/packages/host-daemon/src/load-observer.ts
@@ -0,0 +1,76 @@
+import * as admission from '@camphorwharf/admission';
+import type * as runtime from '@camphorwharf/runtime';
+
+/** Interval of the observations of the load. */
+const OBSERVATION_MS = 100;
+
+/** The slots of the local backend server, as far as they are observed. */
+export interface ObservedSlots {
+  readonly capacity: number;
+  /** Average time that a call runs, in milliseconds. */
+  readonly runMs: number;
+  readonly queueLength: number;
+}
+
+/**
+ * Observes at regular intervals what the backend server and this process are
+ * asked for and what they can do.
+ */
+export class LoadObserver {
+  private readonly service = new admission.PressureControl();
+  private readonly process = new admission.PressureControl();
+  private readonly sustainedLag = new admission.SustainedLag();
+
+  constructor(
+    private readonly clock: runtime.Clock,
+    private readonly slots: ObservedSlots,
+  ) {}
+
+  /** The part of the demand that services above should not begin. */
+  get servicePressure(): number {
+    return this.service.value;
+  }
+
+  /**
+   * The part of the requests that this process should not begin because it
+   * has no time for them.
+   */
+  get processPressure(): number {
+    return this.process.value;
+  }
+
+  noteArrival(): void {
+    this.service.noteArrival();
+  }
+
+  noteRefusal(nested: boolean): void {
+    this.service.noteRefusal(nested);
+  }
+
+  /** Runs until the signal aborts. */
+  async run(stop: runtime.CancelSignal): Promise<void> {
+    const {clock} = this;
+    while (!stop.aborted) {
+      const dueMs = clock.monotonicMs() + OBSERVATION_MS;
+      await clock.delay(OBSERVATION_MS, stop);
+      this.observe(clock.monotonicMs() - dueMs);
+    }
+  }
+
+  private observe(lagMs: number): void {
+    const {capacity, queueLength, runMs} = this.slots;
+    const observation: admission.CapacityObservation = {
+      capacity,
+      averageRunMs: runMs,
+      waiting: queueLength,
+      intervalMs: OBSERVATION_MS,
+      lagMs,
+    };
+    this.service.update(observation);
+    this.process.update({
+      ...observation,
+      waiting: 0,
+      lagMs: this.sustainedLag.note(lagMs),
+    });
+  }
+}
--- a/packages/host-daemon/src/local-target.ts
+++ b/packages/host-daemon/src/local-target.ts
@@ -3,6 +3,7 @@
 import type * as runtime from '@camphorwharf/runtime';
 import * as transport from '@camphorwharf/transport';
 import type * as callDialect from './call-dialect.js';
+import * as loadObserver from './load-observer.js';
 import type * as localTargetState from './local-target-state.js';
 import type * as targetCall from './target-call.js';
 import * as timerSteps from './timer-steps.js';
@@ -25,9 +26,6 @@
 /** The backend server at this address is another one than was named. */
 const MISDIRECTED = 421;
 
-/** Interval of the observations of the load. */
-const OBSERVATION_MS = 100;
-
 export interface LocalTargetOptions {
   readonly clock: runtime.Clock;
   readonly metrics: runtime.Metrics;
@@ -45,7 +43,7 @@
 /** Admits calls to the local backend server and carries them out. */
 export class LocalTarget {
   private readonly slots: admission.SlotAdmission<Waiter>;
-  private readonly pressure = new admission.PressureControl();
+  readonly observer: loadObserver.LoadObserver;
   private timer: NodeJS.Timeout | null = null;
   /** Names of answer headers in lower case. */
   private readonly names;
@@ -53,6 +51,7 @@
   constructor(private readonly options: LocalTargetOptions) {
     const {dialect} = options;
     this.slots = new admission.SlotAdmission(options.state.slots);
+    this.observer = new loadObserver.LoadObserver(options.clock, this.slots);
     this.names = {
       requestId: dialect.requestIdHeader.toLowerCase(),
       load: dialect.loadHeader.toLowerCase(),
@@ -64,7 +63,7 @@
   get load(): protocol.ReportedLoad {
     const nowMs = this.options.clock.monotonicMs();
     const downstream = this.options.downstream.highest(nowMs);
-    const pressure = Math.max(this.pressure.value, downstream);
+    const pressure = Math.max(this.observer.servicePressure, downstream);
     return {
       running: this.slots.runningCount,
       waiting: this.slots.queueLength,
@@ -74,22 +73,6 @@
     };
   }
 
-  /** Observes the load at regular intervals until the signal aborts. */
-  async observe(stop: AbortSignal): Promise<void> {
-    const {clock} = this.options;
-    while (!stop.aborted) {
-      const dueMs = clock.monotonicMs() + OBSERVATION_MS;
-      await clock.delay(OBSERVATION_MS, stop);
-      this.pressure.update({
-        capacity: this.slots.capacity,
-        averageRunMs: this.slots.runMs,
-        waiting: this.slots.queueLength,
-        intervalMs: OBSERVATION_MS,
-        lagMs: clock.monotonicMs() - dueMs,
-      });
-    }
-  }
-
   /** Runs one call. `signal` aborts when its sender has given up. */
   async run(
     call: targetCall.TargetCall,
@@ -101,10 +84,10 @@
     if (!state.mayRun(call.instance)) return refused('targetUnavailable', 0);
     this.slots.setSlots(state.slots);
     const deadlineMs = arrivedMs + call.remainingMs;
-    this.pressure.noteArrival();
+    this.observer.noteArrival();
     const verdict = await this.admit(call, deadlineMs, arrivedMs, signal);
     if (verdict) {
-      this.pressure.noteRefusal(call.nested);
+      this.observer.noteRefusal(call.nested);
       return verdict;
     }
     const startedMs = clock.monotonicMs();
--- a/packages/host-daemon/src/test/host-daemon_test.ts
+++ b/packages/host-daemon/src/test/host-daemon_test.ts
@@ -1,3 +1,4 @@
+import * as runtime from '@camphorwharf/runtime';
 import test from 'ava';
 import * as fixtures from './fleet-fixture.js';
 
@@ -296,3 +297,37 @@
   await stopped;
   fixture.close();
 });
+
+// Serial, because it holds up the daemons of the other tests too.
+test.serial(
+  'a process that is late refuses requests before it begins them',
+  async t => {
+    // Guards against a host without processor time that takes every request
+    // and answers none in time.
+    const fixture = await fleet(1);
+    const [host] = fixture.hosts;
+    for (let turn = 0; turn < 12; turn++) {
+      occupyEventLoop(300);
+      await new Promise(resolve => setTimeout(resolve, 1));
+    }
+    const statuses = [];
+    for (let call = 0; call < 10; call++) {
+      const headers = {'x-request': `request-${call}`};
+      const answer = await fixture.request(host, '/parts/7', {headers});
+      statuses.push(answer.status);
+    }
+    fixture.close();
+    const refused = statuses.filter(status => status === 503).length;
+    t.true(refused > 0, statuses.join(' '));
+    t.is(host.seen.length, statuses.length - refused);
+    const line = host.logged.find(({event}) => event === 'request-refused');
+    t.is(line?.fields?.reason, 'overloaded');
+  },
+);
+
+/** Keeps the event loop from running any other task. */
+function occupyEventLoop(milliseconds: number): void {
+  const clock = new runtime.SystemClock();
+  const endMs = clock.monotonicMs() + milliseconds;
+  while (clock.monotonicMs() < endMs);
+}
