--- a/packages/host-daemon/src/caller-answers.ts
+++ b/packages/host-daemon/src/caller-answers.ts
@@ -18,11 +18,21 @@
 const UNKNOWN_STATUS = 502;
 const TIMEOUT_STATUS = 504;
 
+/** Why a request was shed before any work was done for it. */
+export interface Shedding {
+  readonly source: 'thisProcess' | 'servicesBelow';
+  /** The part of the demand that should not begin, from 0 to 1. */
+  readonly pressure: number;
+  /** The part of the requests of this priority that is refused. */
+  readonly share: number;
+  readonly priority: number;
+}
+
 /** What is known of a request when it is refused. */
 export type RefusedSubject = Pick<
   callerRequest.CallerRequest,
   'route' | 'service' | 'organisation' | 'nested'
->;
+> & {readonly shedding?: Shedding};
 
 export interface CallerAnswersOptions {
   readonly clock: runtime.Clock;
@@ -139,6 +149,7 @@
       nested: subject?.nested ?? null,
       elapsedMs: Math.round(elapsedMs),
       retryAfterMs: Math.round(retryAfterMs),
+      ...sheddingFields(subject?.shedding),
       configuration: state.version,
     });
     const status = statusOf(reason);
@@ -167,3 +178,14 @@
   // A deadline that ends before a call has run is a refusal like any other.
   return httpStatus === 504 || httpStatus === 499 ? 503 : httpStatus;
 }
+
+function sheddingFields(shedding: Shedding | undefined): runtime.LogFields {
+  if (!shedding) return {};
+  const {source, pressure, share, priority} = shedding;
+  return {
+    shedBy: source,
+    pressure: Math.round(pressure * 100) / 100,
+    share: Math.round(share * 100) / 100,
+    priority,
+  };
+}
--- a/packages/host-daemon/src/caller-path.ts
+++ b/packages/host-daemon/src/caller-path.ts
@@ -122,14 +122,15 @@
     }
     const nested = keyless && route.isPublic;
     const priority = organisation?.priority ?? route.priority;
-    if (!nested && this.isShed(service, priority)) {
+    const shedding = nested ? null : this.sheddingOf(service, priority);
+    if (shedding) {
       return this.answers.refuse(
         requestId,
         'overloaded',
         remainingMs,
         arrivedMs,
         route.objectiveMs * SHED_RETURN_SHARE,
-        {route, service, organisation, nested},
+        {route, service, organisation, nested, shedding},
       );
     }
     if (organisation) {
@@ -181,17 +182,26 @@
   }
 
   /**
-   * Whether to refuse a request that would add to an overload of this process
-   * or of a service below its own, before any work is done for it.
+   * Returns why to refuse a request that would add to an overload of this
+   * process or of a service below its own, before any work is done for it, or
+   * null.
    */
-  private isShed(service: string, priority: number): boolean {
+  private sheddingOf(
+    service: string,
+    priority: number,
+  ): callerAnswers.Shedding | null {
     const {clock, entry, ownPressure, random} = this.options;
     const nowMs = clock.monotonicMs();
     this.mix.note(priority, nowMs);
-    const pressure = Math.max(entry.of(service, nowMs), ownPressure());
-    if (pressure === 0) return false;
+    const fromBelow = entry.of(service, nowMs);
+    const ofProcess = ownPressure();
+    const pressure = Math.max(fromBelow, ofProcess);
+    if (pressure === 0) return null;
     const mix = this.mix.shares(nowMs);
-    return random.next() < admission.refusedShare(pressure, priority, mix);
+    const share = admission.refusedShare(pressure, priority, mix);
+    if (random.next() >= share) return null;
+    const source = ofProcess > fromBelow ? 'thisProcess' : 'servicesBelow';
+    return {source, pressure, share, priority};
   }
 
   private clientDeadlineMs(incoming: callerEndpoint.EndpointRequest): number {
--- a/packages/host-daemon/src/host-daemon.ts
+++ b/packages/host-daemon/src/host-daemon.ts
@@ -280,6 +280,7 @@
       const nowMs = clock.monotonicMs();
       this.state.tick(nowMs);
       this.limits.tick(nowMs);
+      this.local.observer.export(this.options.metrics);
     }
   }
 
--- a/packages/host-daemon/src/load-observer.ts
+++ b/packages/host-daemon/src/load-observer.ts
@@ -47,6 +47,22 @@
     this.service.noteRefusal(nested);
   }
 
+  /** Shows the pressures in the metrics. */
+  export(metrics: runtime.Metrics): void {
+    metrics.gauge(
+      'pressure',
+      'Part of the demand that should not begin, from 0 to 1, by source.',
+      this.servicePressure,
+      {source: 'service'},
+    );
+    metrics.gauge(
+      'pressure',
+      'Part of the demand that should not begin, from 0 to 1, by source.',
+      this.processPressure,
+      {source: 'process'},
+    );
+  }
+
   /** Runs until the signal aborts. */
   async run(stop: runtime.CancelSignal): Promise<void> {
     const {clock} = this;
--- a/packages/host-daemon/src/test/host-daemon_test.ts
+++ b/packages/host-daemon/src/test/host-daemon_test.ts
@@ -322,6 +322,8 @@
     t.is(host.seen.length, statuses.length - refused);
     const line = host.logged.find(({event}) => event === 'request-refused');
     t.is(line?.fields?.reason, 'overloaded');
+    t.is(line?.fields?.shedBy, 'thisProcess');
+    t.is(typeof line?.fields?.pressure, 'number');
   },
 );
 
