--- a/packages/command-line/src/commands/index.ts
+++ b/packages/command-line/src/commands/index.ts
@@ -10,6 +10,7 @@
 import * as explain from './explain.js';
 import * as load from './load.js';
 import * as status from './status.js';
+import * as trace from './trace.js';
 
 /** Every command of the binary; a new command is added here. */
 export const COMMANDS: readonly clipanion.CommandClass[] = [
@@ -23,4 +24,5 @@
   experiment.ExperimentCommand,
   load.LoadCommand,
   cost.CostCommand,
+  trace.TraceCommand,
 ];
--- /dev/null
+++ b/packages/command-line/src/test/trace_test.ts
@@ -0,0 +1,104 @@
+import * as fs from 'node:fs';
+import * as os from 'node:os';
+import * as path from 'node:path';
+import * as stream from 'node:stream';
+
+import test from 'ava';
+
+import * as commandLine from '../index.js';
+import * as logLines from '../log-lines.js';
+
+const directory = fs.mkdtempSync(path.join(os.tmpdir(), 'camphorwharf-trace-'));
+test.after.always(() => fs.rmSync(directory, {recursive: true}));
+
+/** A line as a daemon writes it, `second` seconds after the first one. */
+function logged(second: number, event: string, fields: object = {}): string {
+  const date = new Date(1_700_000_000_000 + second * 1_000).toISOString();
+  return JSON.stringify({event, ...fields, _meta: {date}});
+}
+
+function file(name: string, lines: readonly string[]): string {
+  const target = path.join(directory, name);
+  fs.writeFileSync(target, lines.join('\n'));
+  return target;
+}
+
+const requestId = 'request-1';
+const entry = file('host-a.log', [
+  logged(0, 'configuration-in-force', {version: 3}),
+  logged(1, 'configuration-in-force', {version: 4}),
+  logged(2, 'request-refused', {requestId: 'request-2', reason: 'noTarget'}),
+  'a line of another program {"event":1}',
+  '{"event":"request-refused","requestId":"request-1"',
+  logged(5, 'request-refused', {requestId, reason: 'overloaded', nested: null}),
+  logged(6, 'configuration-in-force', {version: 5}),
+]);
+const target = file('collected.txt', [
+  `   0.5 host-b ${logged(3, 'request-retried', {requestId, instance: 'i-1'})}`,
+  `   0.5 host-c ${logged(1, 'platform-lost')}`,
+]);
+
+async function run(...words: string[]) {
+  const stdout = new stream.PassThrough();
+  const stderr = new stream.PassThrough();
+  const exitCode = await commandLine.run(words, {stdout, stderr});
+  const read = (from: stream.PassThrough) => String(from.read() ?? '');
+  return {exitCode, stdout: read(stdout), stderr: read(stderr)};
+}
+
+test('trace prints the decisions of all hosts in order of time', async t => {
+  // Guards against an engineer who has to join the logs by hand, and against
+  // a state that was not yet, or no longer, in force when a host decided.
+  const {exitCode, stdout, stderr} = await run(
+    'trace',
+    requestId,
+    entry,
+    target,
+  );
+  t.is(exitCode, 0, stderr);
+  const rows = stdout.trimEnd().split('\n').slice(1);
+  t.deepEqual(
+    rows.map(row => row.split(/\s{2,}/).slice(1)),
+    [
+      ['host-a', 'configuration-in-force', 'version=4'],
+      ['host-b', 'request-retried', 'instance=i-1'],
+      ['host-a', 'request-refused', 'reason=overloaded'],
+    ],
+  );
+});
+
+const CASES: ReadonlyArray<readonly [string, string[], number, RegExp]> = [
+  ['JSON', ['trace', '--json', requestId, entry], 0, /"reason": "overloaded"/],
+  [
+    'an id that no line names',
+    ['trace', 'request-9', entry],
+    1,
+    /add the logs/,
+  ],
+  [
+    'a file that is missing',
+    ['trace', 'x', 'none.log'],
+    1,
+    /none\.log: cannot/,
+  ],
+  ['no file', ['trace', requestId], 2, /Not enough positional/],
+];
+for (const [name, words, exitCode, printed] of CASES) {
+  test(`trace with ${name} exits with ${exitCode}`, async t => {
+    const result = await run(...words);
+    t.is(result.exitCode, exitCode);
+    t.regex(exitCode === 0 ? result.stdout : result.stderr, printed);
+  });
+}
+
+const LINES: ReadonlyArray<readonly [string, string]> = [
+  ['no JSON', 'started'],
+  ['JSON that is no object', '["event"]{'],
+  ['an object without an event', '{"_meta":{"date":"2026-01-01"}}'],
+  ['an event without a time', '{"event":"request-refused"}'],
+];
+for (const [name, text] of LINES) {
+  test(`skipped as no log line: ${name}`, t => {
+    t.is(logLines.parseLogLine(text, 'host-a'), null);
+  });
+}
