Test shedding by a late process in virtual time; share steps of tests

Two tests that need no timing replace it: the observer under a late clock, and the path of a request under given pressures, with the source that its log line names.

--- a/packages/command-line/src/test/command-line_test.ts
+++ b/packages/command-line/src/test/command-line_test.ts
@@ -3,7 +3,6 @@
 import * as net from 'node:net';
 import * as os from 'node:os';
 import * as path from 'node:path';
-import * as stream from 'node:stream';
 import * as url from 'node:url';
 
 import * as declaration from '@camphorwharf/declaration';
@@ -11,6 +10,7 @@
 
 import * as daemonClient from '../daemon-client.js';
 import * as commandLine from '../index.js';
+import * as runCommand from './run-command.js';
 
 const root = url.fileURLToPath(new URL('../../../../', import.meta.url));
 const teranga = path.join(root, 'examples/teranga/declaration.toml');
@@ -24,14 +24,6 @@
   return target;
 }
 
-async function run(...words: string[]) {
-  const stdout = new stream.PassThrough();
-  const stderr = new stream.PassThrough();
-  const exitCode = await commandLine.run(words, {stdout, stderr});
-  const read = (from: stream.PassThrough) => String(from.read() ?? '');
-  return {exitCode, stdout: read(stdout), stderr: read(stderr)};
-}
-
 const text = fs.readFileSync(teranga, 'utf8');
 const parsed = declaration.parseDeclaration(text, teranga);
 if (!parsed.ok) throw new Error('the example is invalid');
@@ -117,7 +109,7 @@
 for (const [words, exitCode, stdout, stderr] of cases) {
   const name = words.map(word => path.basename(word)).join(' ');
   test(`"${name}" exits with ${exitCode} and says why`, async t => {
-    const result = await run(...words);
+    const result = await runCommand.run(...words);
     t.is(result.exitCode, exitCode, result.stderr);
     t.regex(result.stdout, stdout);
     t.regex(result.stderr, stderr);
@@ -127,7 +119,7 @@
 for (const {paths} of commandLine.COMMANDS) {
   const name = paths?.[0]?.join(' ') ?? '';
   test(`${name} --help shows an example and the exit codes`, async t => {
-    const {exitCode, stdout} = await run(name, '--help');
+    const {exitCode, stdout} = await runCommand.run(name, '--help');
     t.is(exitCode, 0);
     t.regex(stdout, new RegExp(`Examples[^]*\\$ camphorwharf ${name} \\S`));
     t.regex(stdout, /Exit codes: 0 ok/);
@@ -137,7 +129,14 @@
 test('compile replaces its output only with a higher revision', async t => {
   const output = path.join(directory, 'next.json');
   const compile = (revision: number) =>
-    run('compile', teranga, '--revision', String(revision), '--output', output);
+    runCommand.run(
+      'compile',
+      teranga,
+      '--revision',
+      String(revision),
+      '--output',
+      output,
+    );
   t.is((await compile(8)).exitCode, 0);
   const first = fs.readFileSync(output, 'utf8');
   t.is((await compile(8)).exitCode, 1);
@@ -211,11 +210,11 @@
   test(`status with ${name} exits with ${exitCode}`, async t => {
     const addresses: string[] = [];
     for (const answer of answers) addresses.push(await serve(t, answer));
-    const result = await run('status', ...addresses);
+    const result = await runCommand.run('status', ...addresses);
     t.is(result.exitCode, exitCode, result.stderr);
     t.regex(result.stdout, stdout);
     t.regex(result.stderr, stderr);
-    const json = await run('status', '--json', ...addresses);
+    const json = await runCommand.run('status', '--json', ...addresses);
     t.is(json.exitCode, exitCode);
     const report = JSON.parse(json.stdout) as {ok: boolean; daemons: object[]};
     t.is(report.ok, exitCode === 0);
@@ -233,7 +232,7 @@
   test(`drain answered with ${answer[0]} exits with ${exitCode}`, async t => {
     const seen: string[] = [];
     const address = await serve(t, answer, seen);
-    const result = await run('drain', address);
+    const result = await runCommand.run('drain', address);
     t.is(result.exitCode, exitCode);
     t.regex(result.stderr, stderr);
     t.deepEqual(seen, answer === gone ? [] : ['POST /drain']);
--- a/packages/command-line/src/test/trace_test.ts
+++ b/packages/command-line/src/test/trace_test.ts
@@ -1,12 +1,11 @@
 import * as fs from 'node:fs';
 import * as os from 'node:os';
 import * as path from 'node:path';
-import * as stream from 'node:stream';
 
 import test from 'ava';
 
-import * as commandLine from '../index.js';
 import * as logLines from '../log-lines.js';
+import * as runCommand from './run-command.js';
 
 const directory = fs.mkdtempSync(path.join(os.tmpdir(), 'camphorwharf-trace-'));
 test.after.always(() => fs.rmSync(directory, {recursive: true}));
@@ -38,18 +37,10 @@
   `   0.5 host-c ${logged(1, 'platform-lost')}`,
 ]);
 
-async function run(...words: string[]) {
-  const stdout = new stream.PassThrough();
-  const stderr = new stream.PassThrough();
-  const exitCode = await commandLine.run(words, {stdout, stderr});
-  const read = (from: stream.PassThrough) => String(from.read() ?? '');
-  return {exitCode, stdout: read(stdout), stderr: read(stderr)};
-}
-
 test('trace prints the decisions of all hosts in order of time', async t => {
   // Guards against an engineer who has to join the logs by hand, and against
   // a state that was not yet, or no longer, in force when a host decided.
-  const {exitCode, stdout, stderr} = await run(
+  const {exitCode, stdout, stderr} = await runCommand.run(
     'trace',
     requestId,
     entry,
@@ -85,7 +76,7 @@
 ];
 for (const [name, words, exitCode, printed] of CASES) {
   test(`trace with ${name} exits with ${exitCode}`, async t => {
-    const result = await run(...words);
+    const result = await runCommand.run(...words);
     t.is(result.exitCode, exitCode);
     t.regex(exitCode === 0 ? result.stdout : result.stderr, printed);
   });
--- /dev/null
+++ b/packages/host-daemon/src/test/caller-path_test.ts
@@ -0,0 +1,131 @@
+import * as admission from '@camphorwharf/admission';
+import * as fleetLimits from '@camphorwharf/fleet-limits';
+import type * as routing from '@camphorwharf/routing';
+import * as runtime from '@camphorwharf/runtime';
+import test from 'ava';
+import * as callerPath from '../caller-path.js';
+import * as decisionLog from '../decision-log.js';
+import * as fleetState from '../fleet-state.js';
+import type * as requestForwarder from '../request-forwarder.js';
+import * as fixtures from './fleet-fixture.js';
+
+const CONFIGURATION: routing.FleetConfiguration = {
+  version: 1,
+  routes: [
+    {
+      name: 'parts',
+      host: 'shop.example',
+      prefix: '/parts/',
+      idempotent: true,
+      timeoutMs: 3_000,
+      objectiveMs: 1_000,
+      priority: 1,
+      maximumAttempts: 2,
+      isPublic: false,
+      destinations: [{service: 'parts', weight: 1}],
+    },
+  ],
+  services: [],
+  organisations: [
+    {
+      name: 'saloum-mills',
+      keys: ['key-1'],
+      priority: null,
+      ratePerSecond: 0,
+      burst: 0,
+    },
+  ],
+  limits: {
+    maximumHeaderBytes: 16_384,
+    maximumBodyBytes: 10_000_000,
+    headerTimeoutMs: 3_000,
+    idleTimeoutMs: 15_000,
+  },
+};
+
+/** Sends one request along the path of a daemon under these pressures. */
+async function send(ownPressure: number, pressureBelow: number) {
+  const clock = new runtime.ManualClock(1_000);
+  const random = new runtime.SeededRandom(1);
+  const metrics = new runtime.Metrics();
+  const logged: runtime.LogFields[] = [];
+  const logger: runtime.Logger = {
+    ...runtime.silentLogger,
+    info: (_event, fields = {}) => void logged.push(fields),
+  };
+  const state = new fleetState.FleetState({
+    decoder: {
+      configuration: text => JSON.parse(text) as routing.FleetConfiguration,
+      backendServer: () => {
+        throw new Error('No backend server is listed.');
+      },
+    },
+    logger: runtime.silentLogger,
+    metrics,
+    onConfiguration: () => undefined,
+    onServers: () => undefined,
+  });
+  state.configurationRead(JSON.stringify(CONFIGURATION), 0);
+  const entry = new admission.PressureTable();
+  entry.learn('parts', pressureBelow, clock.monotonicMs());
+  let forwarded = 0;
+  const forwarder = {
+    forward: () => {
+      forwarded++;
+      return Promise.resolve({
+        kind: 'answer',
+        status: 200,
+        headers: [],
+        body: new Uint8Array(0),
+      });
+    },
+  } as unknown as requestForwarder.RequestForwarder;
+  const path = new callerPath.CallerPath({
+    clock,
+    random,
+    metrics,
+    decisions: new decisionLog.DecisionLog(logger, metrics, clock),
+    dialect: fixtures.DIALECT,
+    state,
+    limits: new fleetLimits.FleetRateLimits(
+      new fleetLimits.FleetMembers('10.0.0.1'),
+      0,
+    ),
+    entry,
+    ownPressure: () => ownPressure,
+    forwarder,
+    hasDeparted: () => false,
+  });
+  const answer = await path.handle({
+    method: 'GET',
+    path: '/parts/7',
+    rawHeaders: [],
+    headers: {
+      'host': 'shop.example',
+      'authorization': 'Key key-1',
+      'x-request': 'request-1',
+      'x-remaining': '3000',
+    },
+    signal: new runtime.CancelSource(),
+    readBody: () => Promise.resolve(null),
+  });
+  return {status: answer?.status, forwarded, logged};
+}
+
+/** Guards against work for requests that will not be answered in time. */
+const CASES: ReadonlyArray<
+  readonly [string, number, number, number, string | undefined]
+> = [
+  ['no pressure: forwarded', 0, 0, 200, undefined],
+  ['no processor time: refused', 1, 0, 503, 'thisProcess'],
+  ['an overload below: refused', 0, 1, 503, 'servicesBelow'],
+  ['both: the higher one is named', 0.999, 1, 503, 'servicesBelow'],
+];
+for (const [name, ownPressure, below, status, shedBy] of CASES) {
+  test(`a request under ${name}`, async t => {
+    const result = await send(ownPressure, below);
+    t.is(result.status, status);
+    t.is(result.forwarded, status === 200 ? 1 : 0);
+    t.is(result.logged.at(-1)?.shedBy, shedBy);
+  });
+}
--- a/packages/host-daemon/src/test/host-daemon_test.ts
+++ b/packages/host-daemon/src/test/host-daemon_test.ts
@@ -1,28 +1,10 @@
-import * as runtime from '@camphorwharf/runtime';
 import test from 'ava';
+import * as steps from './fixture-steps.js';
 import * as fixtures from './fleet-fixture.js';
 
-/** Waits for an event of another task; the limit only ends a failed test. */
-async function until(condition: () => boolean): Promise<void> {
-  for (let turn = 0; turn < 1_000 && !condition(); turn++) {
-    await new Promise(resolve => setTimeout(resolve, 5));
-  }
-  if (!condition()) throw new Error('The condition did not come true.');
-}
-
-async function fleet(
-  count: number,
-  route: Parameters<fixtures.FleetFixture['publish']>[1] = {},
-): Promise<fixtures.FleetFixture> {
-  const fixture = await fixtures.FleetFixture.start(count);
-  fixture.publish(1, route);
-  fixture.list();
-  return fixture;
-}
-
 /** Guards against a forged header that a backend server would trust. */
 test('the backend server gets the headers of this system only', async t => {
-  const fixture = await fleet(1);
+  const fixture = await steps.fleet(1);
   const [host] = fixture.hosts;
   const answer = await fixture.request(host, '/parts/7?x=1', {
     headers: {
@@ -56,7 +38,7 @@
 ];
 for (const [name, path, headers, status] of REFUSALS) {
   test(`refused: ${name}`, async t => {
-    const fixture = await fleet(1);
+    const fixture = await steps.fleet(1);
     const [host] = fixture.hosts;
     const answer = await fixture.request(host, path, {headers});
     fixture.close();
@@ -152,7 +134,7 @@
 ];
 for (const [name, idempotent, behaviour, status, runs] of FAULTS) {
   test(`fault of the backend server: ${name}`, async t => {
-    const fixture = await fleet(idempotent ? 2 : 1, {idempotent});
+    const fixture = await steps.fleet(idempotent ? 2 : 1, {idempotent});
     const [host] = fixture.hosts;
     for (const one of fixture.hosts) one.behaviour = behaviour;
     const answer = await fixture.request(host, '/parts/7');
@@ -165,7 +147,7 @@
 
 test('an instance that has gone is asked for once', async t => {
   // Guards against arrivals of misdirected calls after many restarts.
-  const fixture = await fleet(1, {idempotent: false});
+  const fixture = await steps.fleet(1, {idempotent: false});
   const [host] = fixture.hosts;
   host.behaviour = (_request, response) =>
     response.writeHead(421, {'x-not-run': '1'}).end();
@@ -179,7 +161,7 @@
 });
 
 test('a request reaches the backend server of another host whole', async t => {
-  const fixture = await fleet(2, {idempotent: false});
+  const fixture = await steps.fleet(2, {idempotent: false});
   const [entry, other] = fixture.hosts;
   fixture.list([other]);
   other.behaviour = (request, response, body) =>
@@ -203,7 +185,7 @@
 });
 
 test('a client that leaves ends the work of the backend server', async t => {
-  const fixture = await fleet(2);
+  const fixture = await steps.fleet(2);
   const [entry, other] = fixture.hosts;
   fixture.list([other]);
   let closed = false;
@@ -212,17 +194,17 @@
   };
   const leaving = new AbortController();
   const pending = fixture.request(entry, '/parts/7', {signal: leaving.signal});
-  await until(() => other.seen.length > 0);
+  await steps.until(() => other.seen.length > 0);
   leaving.abort();
   await t.throwsAsync(pending);
-  await until(() => closed);
+  await steps.until(() => closed);
   fixture.close();
   t.true(closed);
 });
 
 test('the final answer comes at the timeout of the route', async t => {
   // Guards against a request that is held past the time that operators set.
-  const fixture = await fleet(1, {timeoutMs: 150, idempotent: false});
+  const fixture = await steps.fleet(1, {timeoutMs: 150, idempotent: false});
   const [host] = fixture.hosts;
   host.behaviour = () => undefined;
   const answer = await fixture.request(host, '/parts/7');
@@ -242,7 +224,7 @@
 
 test('a daemon that the platform refuses learns from its peers', async t => {
   // Guards against old keys and routes on a host that is cut off.
-  const fixture = await fleet(2);
+  const fixture = await steps.fleet(2);
   const [reader, refused] = fixture.hosts;
   fixture.publish(2, {}, {keys: ['key-2']}, [reader]);
   let status = 200;
@@ -257,79 +239,3 @@
   t.is(status, 401, 'the revoked key is refused');
   t.is(after.status, 401, 'an older version does not return');
 });
-
-test('a stop refuses what arrives too late to be finished', async t => {
-  // Guards against a request that is begun after the departure of a daemon
-  // and cut at the end of its stop.
-  const fixture = await fleet(1, {idempotent: false, timeoutMs: 5_000});
-  const [host] = fixture.hosts;
-  host.behaviour = (request, response) =>
-    void setTimeout(
-      () => fixtures.answerWell(request, response, 'whole'),
-      3_300,
-    );
-  const longDeadline = {'x-remaining': '5000'};
-  const running = fixture.request(host, '/parts/7', {headers: longDeadline});
-  await until(() => host.seen.length > 0);
-  const stopped = host.daemon.stop();
-  await new Promise(resolve => setTimeout(resolve, 2_900));
-  const late = await fixture.request(host, '/parts/8', {
-    headers: {...longDeadline, 'x-request': 'request-2'},
-  });
-  t.is(late.status, 503);
-  t.is((await running).body, 'whole');
-  await stopped;
-  fixture.close();
-  t.is(host.seen.length, 1);
-});
-
-test('a stop finishes what runs and takes no new work', async t => {
-  const fixture = await fleet(2, {idempotent: false});
-  const [leaving, other] = fixture.hosts;
-  fixture.list([leaving]);
-  leaving.behaviour = (request, response) =>
-    void setTimeout(() => fixtures.answerWell(request, response, 'whole'), 300);
-  const running = fixture.request(other, '/parts/7');
-  await until(() => leaving.seen.length > 0);
-  const stopped = leaving.daemon.stop();
-  t.false(leaving.daemon.isReady);
-  t.is((await running).body, 'whole');
-  await stopped;
-  fixture.close();
-});
-
-// Serial, because it holds up the daemons of the other tests too.
-test.serial(
-  'a process that is late refuses requests before it begins them',
-  async t => {
-    // Guards against a host without processor time that takes every request
-    // and answers none in time.
-    const fixture = await fleet(1);
-    const [host] = fixture.hosts;
-    for (let turn = 0; turn < 12; turn++) {
-      occupyEventLoop(300);
-      await new Promise(resolve => setTimeout(resolve, 1));
-    }
-    const statuses = [];
-    for (let call = 0; call < 10; call++) {
-      const headers = {'x-request': `request-${call}`};
-      const answer = await fixture.request(host, '/parts/7', {headers});
-      statuses.push(answer.status);
-    }
-    fixture.close();
-    const refused = statuses.filter(status => status === 503).length;
-    t.true(refused > 0, statuses.join(' '));
-    t.is(host.seen.length, statuses.length - refused);
-    const line = host.logged.find(({event}) => event === 'request-refused');
-    t.is(line?.fields?.reason, 'overloaded');
-    t.is(line?.fields?.shedBy, 'thisProcess');
-    t.is(typeof line?.fields?.pressure, 'number');
-  },
-);
-
-/** Keeps the event loop from running any other task. */
-function occupyEventLoop(milliseconds: number): void {
-  const clock = new runtime.SystemClock();
-  const endMs = clock.monotonicMs() + milliseconds;
-  while (clock.monotonicMs() < endMs);
-}
--- /dev/null
+++ b/packages/host-daemon/src/test/load-observer_test.ts
@@ -0,0 +1,51 @@
+import * as runtime from '@camphorwharf/runtime';
+import test from 'ava';
+import * as loadObserver from '../load-observer.js';
+
+/** A clock whose delays end late, one after the other. */
+class LateClock extends runtime.ManualClock {
+  private turn = 0;
+
+  constructor(
+    private readonly lagsMs: readonly number[],
+    private readonly stop: runtime.CancelSource,
+  ) {
+    super();
+  }
+
+  override async delay(milliseconds: number): Promise<void> {
+    await this.advance(milliseconds + this.lagsMs[this.turn]);
+    this.turn++;
+    if (this.turn === this.lagsMs.length) this.stop.abort();
+  }
+}
+
+/** Guards against a host without processor time that takes every request. */
+const CASES: ReadonlyArray<
+  readonly [string, readonly number[], (pressure: number) => boolean]
+> = [
+  ['on time: no pressure', [0, 5, 0, 20, 0], pressure => pressure === 0],
+  ['one pause: no pressure', [0, 900, 0, 0, 0], pressure => pressure === 0],
+  [
+    'late for 2 s: most requests should not begin',
+    new Array<number>(20).fill(300),
+    pressure => pressure > 0.5,
+  ],
+  [
+    'on time for 2 s after 2 s: no pressure',
+    [...new Array<number>(20).fill(300), ...new Array<number>(20).fill(0)],
+    pressure => pressure === 0,
+  ],
+];
+for (const [name, lagsMs, holds] of CASES) {
+  test(`a process that is ${name}`, async t => {
+    const stop = new runtime.CancelSource();
+    const observer = new loadObserver.LoadObserver(
+      new LateClock(lagsMs, stop),
+      {capacity: 10, runMs: 50, queueLength: 0},
+    );
+    await observer.run(stop);
+    const pressure = observer.processPressure;
+    t.true(holds(pressure), `${pressure}`);
+  });
+}
