Avoid targets that lose a few calls in a hundred

The failure rate had to exceed 12% before another zone was preferred, and a request needs four such calls. Ruled out: peer connections (none ended then), the store (its loss at 16.6 s is later), the configuration (the same on all hosts). Change: a failure weighs four times as much and is remembered for twice as long; a single one still weighs less than another zone. The test of a target that loses one call in ten failed first.

--- a/packages/routing/src/target-board.ts
+++ b/packages/routing/src/target-board.ts
@@ -22,14 +22,21 @@
 /** Load share that is added while a target is slow after its start. */
 const COLD_PENALTY = 0.3;
 
-/** Weight of the failure rate against the load share. */
-const FAILURE_WEIGHT = 2;
+/**
+ * Weight of the failure rate against the load share. A request needs several
+ * nested calls, so a target that loses a few in a hundred is worse than one
+ * of another availability zone.
+ */
+const FAILURE_WEIGHT = 8;
 
-/** Part of the difference by which one outcome moves the failure rate. */
-const FAILURE_STEP = 0.1;
+/**
+ * Part of the difference by which one outcome moves the failure rate; a
+ * single failure weighs less than another availability zone.
+ */
+const FAILURE_STEP = 0.02;
 
 /** The failure rate halves in this time without outcomes, in milliseconds. */
-const FAILURE_HALF_LIFE_MS = 1_500;
+const FAILURE_HALF_LIFE_MS = 3_000;
 
 /** A host that could not be reached is avoided for this long. */
 const UNREACHABLE_MS = 400;
--- a/packages/routing/src/test/target-board_test.ts
+++ b/packages/routing/src/test/target-board_test.ts
@@ -55,6 +55,28 @@
     },
     'far',
   ],
+  [
+    'the near target loses one call in ten: the far one',
+    seen => {
+      for (let call = 1; call <= 40; call++) {
+        const outcome = call % 10 === 5 ? 'failed' : 'succeeded';
+        seen.noteStart('near');
+        seen.noteEnd('near', outcome, load(0), call * 50 - 2_000);
+      }
+    },
+    'far',
+  ],
+  [
+    'the near target has failed once: still the near one',
+    seen => {
+      for (let call = 1; call <= 40; call++) {
+        const outcome = call === 39 ? 'failed' : 'succeeded';
+        seen.noteStart('near');
+        seen.noteEnd('near', outcome, load(0), call * 50 - 2_000);
+      }
+    },
+    'near',
+  ],
   [
     'the near host cannot be reached: the far one',
     seen => seen.noteUnreachable('near', 0),
