--- a/packages/runtime/src/clock.ts
+++ b/packages/runtime/src/clock.ts
@@ -10,7 +10,10 @@
    * Resolves after `milliseconds`, or at once when the signal aborts.
    * Never rejects, so that loops can test the signal in one place.
    */
-  delay(milliseconds: number, signal?: cancelSignal.CancelSignal): Promise<void>;
+  delay(
+    milliseconds: number,
+    signal?: cancelSignal.CancelSignal,
+  ): Promise<void>;
 }
 
 /** The clock of the machine. */
@@ -23,7 +26,10 @@
     return new Date().getTime();
   }
 
-  delay(milliseconds: number, signal?: cancelSignal.CancelSignal): Promise<void> {
+  delay(
+    milliseconds: number,
+    signal?: cancelSignal.CancelSignal,
+  ): Promise<void> {
     return new Promise(resolve => {
       if (signal?.aborted) {
         resolve();
@@ -72,7 +78,10 @@
     this.wallOffsetMs += milliseconds;
   }
 
-  delay(milliseconds: number, signal?: cancelSignal.CancelSignal): Promise<void> {
+  delay(
+    milliseconds: number,
+    signal?: cancelSignal.CancelSignal,
+  ): Promise<void> {
     return new Promise(resolve => {
       if (signal?.aborted) {
         resolve();
