Send no second heartbeat after a timer that fires early

Cause (loopback, 16 idle daemons): 44 writes a second where 30 are due. A timer that fires up to a millisecond before the instant of its phase computes a delay of less than a millisecond and sends again.

--- a/packages/host-daemon/src/fleet-reports.ts
+++ b/packages/host-daemon/src/fleet-reports.ts
@@ -2,7 +2,7 @@
 import type * as protocol from '@camphorwharf/protocol';
 import type * as routing from '@camphorwharf/routing';
 import type * as runtime from '@camphorwharf/runtime';
-import type * as transport from '@camphorwharf/transport';
+import * as transport from '@camphorwharf/transport';
 import type * as fleetState from './fleet-state.js';
 import * as publishedState from './published-state.js';
 
@@ -82,9 +82,9 @@
     while (!signal.aborted) {
       this.sendAll();
       const nowMs = clock.monotonicMs();
-      const toHeartbeatMs = intervalMs - ((nowMs + phaseMs) % intervalMs);
-      const scarceMs = intervalMs * SCARCE_SHARE;
-      const base = limits.isScarce ? scarceMs : toHeartbeatMs;
+      const base = limits.isScarce
+        ? intervalMs * SCARCE_SHARE
+        : transport.delayToPhase(nowMs, intervalMs, phaseMs);
       const paced = (this.hosts().size * 1_000) / REPORTS_PER_SECOND;
       await clock.delay(Math.max(base, paced), signal);
     }
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -9,6 +9,7 @@
   SILENCE_LIMIT_MS,
 } from './peer-options.js';
 export type {CloseReasonName, PeerOptions} from './peer-options.js';
+export {delayToPhase} from './phased-delay.js';
 export {PeerPool} from './peer-pool.js';
 export {BackendServerClient} from './backend-client.js';
 export type {
--- a/packages/transport/src/peer-connection.ts
+++ b/packages/transport/src/peer-connection.ts
@@ -9,6 +9,7 @@
 import * as heartbeatLedger from './heartbeat-ledger.js';
 import type * as peer from './peer-interfaces.js';
 import * as options from './peer-options.js';
+import * as phasedDelay from './phased-delay.js';
 import * as reportFrames from './report-frames.js';
 import * as requestTable from './request-table.js';
 import * as socketReader from './socket-reader.js';
@@ -265,7 +266,7 @@
       this.writer.write(this.heartbeats.send(startedMs));
       // All connections of a process beat in the same turn of its event loop.
       await clock.delay(
-        intervalMs - ((startedMs + phaseMs) % intervalMs),
+        phasedDelay.delayToPhase(startedMs, intervalMs, phaseMs),
         this.lifetime,
       );
       // After a stall of this process, what waits in the kernel is read
