Read what waits before a late process begins a call

A nested call was sent at 27.4 s, its client left at 28.0 s, and it reached billing at 28.7 s: the processes on its way were late, and began it although the end of the client was already in their sockets. Ruled out: the cancellation itself (on time it ends the work, as the test of a client that leaves shows) and the slots (the call ran for 5 ms until the cut).

--- a/packages/host-daemon/src/caller-path.ts
+++ b/packages/host-daemon/src/caller-path.ts
@@ -10,6 +10,7 @@
 import type * as callerRequest from './caller-request.js';
 import type * as decisionLog from './decision-log.js';
 import type * as fleetState from './fleet-state.js';
+import type * as loadObserver from './load-observer.js';
 import type * as requestForwarder from './request-forwarder.js';
 
 /** Deadline of a request whose client names none or a malformed one. */
@@ -28,8 +29,11 @@
   readonly limits: fleetLimits.FleetRateLimits;
   /** Pressure below the services that requests of this host go to. */
   readonly entry: admission.PressureTable;
-  /** Pressure of this process, which is late when it has too much to do. */
-  readonly ownPressure: () => number;
+  /** Tells whether this process has too much to do. */
+  readonly observer: Pick<
+    loadObserver.LoadObserver,
+    'isLate' | 'processPressure'
+  >;
   readonly forwarder: requestForwarder.RequestForwarder;
   /** Whether the planned stop leaves no time to finish a new request. */
   readonly hasDeparted: () => boolean;
@@ -158,6 +162,12 @@
       if (organisation) limits.giveBack(organisation.name);
       return null; // The client broke off its own request.
     }
+    // What a late process has not read yet may be the end of the client.
+    if (this.options.observer.isLate) await transport.inputPhase();
+    if (incoming.signal.aborted) {
+      if (organisation) limits.giveBack(organisation.name);
+      return null;
+    }
     const request: callerRequest.CallerRequest = {
       requestId,
       method: incoming.method,
@@ -190,11 +200,11 @@
     service: string,
     priority: number,
   ): callerAnswers.Shedding | null {
-    const {clock, entry, ownPressure, random} = this.options;
+    const {clock, entry, observer, random} = this.options;
     const nowMs = clock.monotonicMs();
     this.mix.note(priority, nowMs);
     const fromBelow = entry.of(service, nowMs);
-    const ofProcess = ownPressure();
+    const ofProcess = observer.processPressure;
     const pressure = Math.max(fromBelow, ofProcess);
     if (pressure === 0) return null;
     const mix = this.mix.shares(nowMs);
--- a/packages/host-daemon/src/host-daemon.ts
+++ b/packages/host-daemon/src/host-daemon.ts
@@ -170,7 +170,7 @@
       state: this.state,
       limits: this.limits,
       entry,
-      ownPressure: () => local.observer.processPressure,
+      observer: local.observer,
       forwarder,
       hasDeparted: () => this.departed,
     });
--- a/packages/host-daemon/src/load-observer.ts
+++ b/packages/host-daemon/src/load-observer.ts
@@ -4,6 +4,9 @@
 /** Interval of the observations of the load. */
 const OBSERVATION_MS = 100;
 
+/** A process that is later than this has input that it has not read yet. */
+const LATE_MS = 50;
+
 /** The slots of the local backend server, as far as they are observed. */
 export interface ObservedSlots {
   readonly capacity: number;
@@ -20,6 +23,7 @@
   private readonly service = new admission.PressureControl();
   private readonly process = new admission.PressureControl();
   private readonly sustainedLag = new admission.SustainedLag();
+  private lastLagMs = 0;
 
   constructor(
     private readonly clock: runtime.Clock,
@@ -39,6 +43,11 @@
     return this.process.value;
   }
 
+  /** Whether the last observation was late. */
+  get isLate(): boolean {
+    return this.lastLagMs > LATE_MS;
+  }
+
   noteArrival(): void {
     this.service.noteArrival();
   }
@@ -74,6 +83,7 @@
   }
 
   private observe(lagMs: number): void {
+    this.lastLagMs = lagMs;
     const {capacity, queueLength, runMs} = this.slots;
     const observation: admission.CapacityObservation = {
       capacity,
--- a/packages/host-daemon/src/test/caller-path_test.ts
+++ b/packages/host-daemon/src/test/caller-path_test.ts
@@ -44,7 +44,11 @@
 };
 
 /** Sends one request along the path of a daemon under these pressures. */
-async function send(ownPressure: number, pressureBelow: number) {
+async function send(
+  ownPressure: number,
+  pressureBelow: number,
+  isLate = false,
+) {
   const clock = new runtime.ManualClock(1_000);
   const random = new runtime.SeededRandom(1);
   const metrics = new runtime.Metrics();
@@ -92,11 +96,12 @@
       0,
     ),
     entry,
-    ownPressure: () => ownPressure,
+    observer: {processPressure: ownPressure, isLate},
     forwarder,
     hasDeparted: () => false,
   });
-  const answer = await path.handle({
+  const client = new runtime.CancelSource();
+  const answered = path.handle({
     method: 'GET',
     path: '/parts/7',
     rawHeaders: [],
@@ -106,9 +111,12 @@
       'x-request': 'request-1',
       'x-remaining': '3000',
     },
-    signal: new runtime.CancelSource(),
+    signal: client,
     readBody: () => Promise.resolve(null),
   });
+  // The client's end is read in the same turn of the event loop.
+  if (isLate) setImmediate(() => client.abort());
+  const answer = await answered;
   return {status: answer?.status, forwarded, logged};
 }
 
@@ -129,3 +137,11 @@
     t.is(result.logged.at(-1)?.shedBy, shedBy);
   });
 }
+
+test('a late process reads the end of a client before it forwards', async t => {
+  // Guards against requests that are sent on after their clients have left
+  // (sahab-hire, mix --seed 799376693848).
+  const result = await send(0, 0, true);
+  t.is(result.forwarded, 0);
+  t.is(result.status, undefined);
+});
--- a/packages/host-daemon/src/test/load-observer_test.ts
+++ b/packages/host-daemon/src/test/load-observer_test.ts
@@ -1,24 +1,7 @@
 import * as runtime from '@camphorwharf/runtime';
 import test from 'ava';
 import * as loadObserver from '../load-observer.js';
-
-/** A clock whose delays end late, one after the other. */
-class LateClock extends runtime.ManualClock {
-  private turn = 0;
-
-  constructor(
-    private readonly lagsMs: readonly number[],
-    private readonly stop: runtime.CancelSource,
-  ) {
-    super();
-  }
-
-  override async delay(milliseconds: number): Promise<void> {
-    await this.advance(milliseconds + this.lagsMs[this.turn]);
-    this.turn++;
-    if (this.turn === this.lagsMs.length) this.stop.abort();
-  }
-}
+import * as lateClock from './late-clock.js';
 
 /** Guards against a host without processor time that takes every request. */
 const CASES: ReadonlyArray<
@@ -41,7 +24,7 @@
   test(`a process that is ${name}`, async t => {
     const stop = new runtime.CancelSource();
     const observer = new loadObserver.LoadObserver(
-      new LateClock(lagsMs, stop),
+      new lateClock.LateClock(lagsMs, stop),
       {capacity: 10, runMs: 50, queueLength: 0},
     );
     await observer.run(stop);
--- /dev/null
+++ b/packages/host-daemon/src/test/local-target_test.ts
@@ -0,0 +1,63 @@
+import * as admission from '@camphorwharf/admission';
+import * as runtime from '@camphorwharf/runtime';
+import type * as transport from '@camphorwharf/transport';
+import test from 'ava';
+import * as localTarget from '../local-target.js';
+import * as localTargetState from '../local-target-state.js';
+import type * as targetCall from '../target-call.js';
+import * as fixtures from './fleet-fixture.js';
+import * as lateClock from './late-clock.js';
+
+const CALL: targetCall.TargetCall = {
+  method: 'GET',
+  path: '/parts/7',
+  headers: [],
+  body: null,
+  contentLength: null,
+  requestId: 'request-1',
+  instance: 'instance-1',
+  callerService: 'shop',
+  organisation: null,
+  priority: 1,
+  nested: true,
+  idempotent: true,
+  remainingMs: 1_000,
+  objectiveMs: 500,
+};
+
+/**
+ * Guards against calls that reach the backend server after their clients have
+ * left (sahab-hire, mix --seed 799376693848): a late process reads a call long
+ * before the cancellation that is right behind it.
+ */
+const CASES: ReadonlyArray<readonly [string, number, number]> = [
+  ['a late process does not send it', 300, 0],
+  ['a process on time has sent it already', 0, 1],
+];
+for (const [name, lagMs, expected] of CASES) {
+  test(`a call whose cancellation is read next: ${name}`, async t => {
+    const stop = new runtime.CancelSource();
+    const clock = new lateClock.LateClock([lagMs], stop);
+    let sent = 0;
+    const client = {
+      send: () => {
+        sent++;
+        const lost = {kind: 'lost', error: new Error('cancelled')};
+        return {result: Promise.resolve(lost), cancel: () => undefined};
+      },
+    } as unknown as transport.WholeExchangeClient;
+    const target = new localTarget.LocalTarget({
+      clock,
+      metrics: new runtime.Metrics(),
+      dialect: fixtures.DIALECT,
+      client,
+      state: new localTargetState.LocalTargetState('parts', '10.0.0.1', 80, 0),
+      downstream: new admission.PressureTable(),
+    });
+    await target.observer.run(stop);
+    const cancel = new runtime.CancelSource();
+    setImmediate(() => cancel.abort());
+    await target.run(CALL, cancel);
+    t.is(sent, expected);
+  });
+}
