Poll twice before a late process begins a call; count a start as late

A host that had just been added (sidecar-zarqa-c-7) held a request for 1.6 s; it had no observation yet, and the end of a connection is read in the poll after its last data. Change: two polls, and a process counts as late until its first observation. The test of both cases follows the order of the event loop.

--- a/packages/host-daemon/src/caller-path.ts
+++ b/packages/host-daemon/src/caller-path.ts
@@ -163,7 +163,7 @@
       return null; // The client broke off its own request.
     }
     // What a late process has not read yet may be the end of the client.
-    if (this.options.observer.isLate) await transport.inputPhase();
+    if (this.options.observer.isLate) await transport.waitingInput();
     if (incoming.signal.aborted) {
       if (organisation) limits.giveBack(organisation.name);
       return null;
--- a/packages/host-daemon/src/load-observer.ts
+++ b/packages/host-daemon/src/load-observer.ts
@@ -23,7 +23,8 @@
   private readonly service = new admission.PressureControl();
   private readonly process = new admission.PressureControl();
   private readonly sustainedLag = new admission.SustainedLag();
-  private lastLagMs = 0;
+  /** Until the first observation a start may have held up the input. */
+  private lastLagMs = Infinity;
 
   constructor(
     private readonly clock: runtime.Clock,
@@ -43,7 +44,7 @@
     return this.process.value;
   }
 
-  /** Whether the last observation was late. */
+  /** Whether the last observation was late, or there was none yet. */
   get isLate(): boolean {
     return this.lastLagMs > LATE_MS;
   }
--- a/packages/host-daemon/src/local-target.ts
+++ b/packages/host-daemon/src/local-target.ts
@@ -83,7 +83,7 @@
     if (!state.acceptsWork(arrivedMs)) return refused('targetLeaving', 0);
     if (!state.mayRun(call.instance)) return refused('targetUnavailable', 0);
     // What a late process has not read yet may cancel this call.
-    if (this.observer.isLate) await transport.inputPhase();
+    if (this.observer.isLate) await transport.waitingInput();
     if (signal.aborted) return refused('cancelled', 0);
     this.slots.setSlots(state.slots);
     const deadlineMs = arrivedMs + call.remainingMs;
--- a/packages/host-daemon/src/test/local-target_test.ts
+++ b/packages/host-daemon/src/test/local-target_test.ts
@@ -30,14 +30,15 @@
  * left (sahab-hire, mix --seed 799376693848): a late process reads a call long
  * before the cancellation that is right behind it.
  */
-const CASES: ReadonlyArray<readonly [string, number, number]> = [
+const CASES: ReadonlyArray<readonly [string, number | null, number]> = [
   ['a late process does not send it', 300, 0],
+  ['a process that has just started does not send it', null, 0],
   ['a process on time has sent it already', 0, 1],
 ];
 for (const [name, lagMs, expected] of CASES) {
   test(`a call whose cancellation is read next: ${name}`, async t => {
     const stop = new runtime.CancelSource();
-    const clock = new lateClock.LateClock([lagMs], stop);
+    const clock = new lateClock.LateClock([lagMs ?? 0], stop);
     let sent = 0;
     const client = {
       send: () => {
@@ -54,9 +55,10 @@
       state: new localTargetState.LocalTargetState('parts', '10.0.0.1', 80, 0),
       downstream: new admission.PressureTable(),
     });
-    await target.observer.run(stop);
+    if (lagMs !== null) await target.observer.run(stop);
     const cancel = new runtime.CancelSource();
-    setImmediate(() => cancel.abort());
+    // The end of a connection is read in the poll after its last data.
+    setImmediate(() => setImmediate(() => cancel.abort()));
     await target.run(CALL, cancel);
     t.is(sent, expected);
   });
--- a/packages/transport/src/connection-end.ts
+++ b/packages/transport/src/connection-end.ts
@@ -6,6 +6,15 @@
   return new Promise(resolve => setImmediate(resolve));
 }
 
+/**
+ * Resolves when what waits in the kernel has been read: the poll after the one
+ * that returns the last data of a connection returns its end.
+ */
+export async function waitingInput(): Promise<void> {
+  await inputPhase();
+  await inputPhase();
+}
+
 /** The error of everything that was in flight on a connection. */
 export function closedError(reason: string | null, cause?: unknown): Error {
   return new runtime.ConnectionError(
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -1,4 +1,4 @@
-export {inputPhase} from './connection-end.js';
+export {waitingInput} from './connection-end.js';
 export {PeerConnection} from './peer-connection.js';
 export type * from './peer-interfaces.js';
 export {PeerListener} from './peer-listener.js';
