--- a/packages/admission/src/pressure-table.ts
+++ b/packages/admission/src/pressure-table.ts
@@ -28,16 +28,6 @@
     if (entry.pressure < NEGLIGIBLE) this.entries.delete(service);
   }
 
-  /**
-   * Notes that a target was too late to tell its pressure. The pressure moves
-   * towards the part of the calls that end so.
-   */
-  noteTimeout(service: string, nowMs: number): void {
-    const before = this.of(service, nowMs);
-    const pressure = before + STEP * (1 - before);
-    this.entries.set(service, {pressure, updatedMs: nowMs});
-  }
-
   of(service: string, nowMs: number): number {
     const entry = this.entries.get(service);
     return entry ? current(entry, nowMs) : 0;
--- a/packages/admission/src/test/pressure_test.ts
+++ b/packages/admission/src/test/pressure_test.ts
@@ -159,17 +159,3 @@
     t.is(lags.map(one => lag.note(one)).at(-1), expected);
   });
 }
-
-test('one call in five that times out brings a fifth of the pressure', t => {
-  // Guards against shedding everything for a single slow call.
-  const table = new pressureTable.PressureTable();
-  table.noteTimeout('billing', 0);
-  t.is(table.of('billing', 0), 0.2);
-  for (let call = 1; call <= 100; call++) {
-    if (call % 5 === 0) table.noteTimeout('billing', 0);
-    else table.learn('billing', 0, 0);
-  }
-  t.true(table.of('billing', 0) < 0.35);
-  for (let call = 0; call < 30; call++) table.noteTimeout('billing', 0);
-  t.true(table.of('billing', 0) > 0.9);
-});
--- a/packages/host-daemon/src/request-forwarder.ts
+++ b/packages/host-daemon/src/request-forwarder.ts
@@ -182,7 +182,6 @@
       nowMs,
     );
     if (attempt.load) this.learnPressure(request, attempt.load, nowMs);
-    else this.learnTimeout(request, attempt.result, nowMs);
     if (attempt.unreachable) {
       board.noteUnreachable(server.instance, nowMs);
     }
@@ -204,22 +203,6 @@
     else entry.learn(service, load.downstreamPressure ?? 0, nowMs);
   }
 
-  /**
-   * A target that is too late to answer cannot tell its pressure either. Its
-   * silence counts as the highest one, so that an overload which outlasts its
-   * cause is still shed above.
-   */
-  private learnTimeout(
-    request: callerRequest.CallerRequest,
-    result: targetCall.TargetAnswer,
-    nowMs: number,
-  ): void {
-    if (!request.nested || request.signal.aborted) return;
-    if (result.kind !== 'unknown') return;
-    if (result.reason !== 'deadlineDuringRun') return;
-    this.options.downstream.noteTimeout(request.service, nowMs);
-  }
-
   private budget(service: string): fleetLimits.FleetRetryBudget {
     let budget = this.budgets.get(service);
     if (!budget) {
