See the end of a client's connection in the poll that reads it

A late process polls twice before it forwards, which does read the end of the connection, but the request was only aborted when the response closed: Node.js ends its half of the socket, waits for the flush and closes, some turns of the event loop later. Ruled out: a fresh start (the host had run for 7 s), the target's daemon (the call entered late), the number of polls. Now the end of the connection aborts its request at once. The two tests fail without the change.

--- a/packages/host-daemon/src/caller-endpoint.ts
+++ b/packages/host-daemon/src/caller-endpoint.ts
@@ -57,7 +57,7 @@
   private readonly server: http.Server;
   private running = 0;
   /** Connections with a request that has no complete answer. */
-  private readonly busy = new WeakSet<net.Socket>();
+  private readonly busy = new WeakMap<net.Socket, runtime.CancelSource>();
   private closing = false;
   private maximumHeaderBytes = PARSER_HEADER_BYTES;
 
@@ -73,6 +73,11 @@
       },
       (request, response) => void this.serve(request, response),
     );
+    // The response closes some turns of the event loop after its connection
+    // has ended, and a late process would send the request on meanwhile.
+    this.server.on('connection', (socket: net.Socket) =>
+      socket.on('end', () => this.busy.get(socket)?.abort()),
+    );
     this.server.on('clientError', (error, socket) =>
       this.refuseMalformed(error, socket as net.Socket),
     );
@@ -120,8 +125,8 @@
     response: http.ServerResponse,
   ): Promise<void> {
     this.running++;
-    this.busy.add(request.socket);
     const cancel = new runtime.CancelSource();
+    this.busy.set(request.socket, cancel);
     let finished = false;
     response.on('close', () => {
       this.running--;
--- /dev/null
+++ b/packages/host-daemon/src/test/caller-endpoint_test.ts
@@ -0,0 +1,71 @@
+import * as workerThreads from 'node:worker_threads';
+import * as runtime from '@camphorwharf/runtime';
+import * as transport from '@camphorwharf/transport';
+import test from 'ava';
+import * as callerEndpoint from '../caller-endpoint.js';
+
+/** Time in milliseconds for which the event loop stands still. */
+const PAUSE_MS = 300;
+
+const REQUESTS = {
+  'without a body': 'GET / HTTP/1.1\r\nHost: a.example\r\n\r\n',
+  'with a body':
+    'POST / HTTP/1.1\r\nHost: a.example\r\nContent-Length: 4\r\n\r\nbody',
+};
+
+/** Sends and closes from a thread of its own, while this one stands still. */
+const CLIENT = `
+  const net = require('node:net');
+  const {parentPort, workerData} = require('node:worker_threads');
+  const socket = net.connect(workerData.port, '127.0.0.1', () => {
+    parentPort.on('message', () => socket.end(workerData.text));
+    parentPort.postMessage('connected');
+  });
+  socket.on('error', () => undefined);
+`;
+
+for (const [name, text] of Object.entries(REQUESTS)) {
+  // Guards against sending on what a client has left while this process had
+  // no time to read: the request and the end of its connection wait together.
+  test(`a late process sees that a client has left: request ${name}`, async t => {
+    const seen = new Promise<boolean>(resolve => {
+      void listen(async request => {
+        await request.readBody();
+        await transport.waitingInput();
+        resolve(request.signal.aborted);
+        return null;
+      }).then(endpoint => {
+        const client = new workerThreads.Worker(CLIENT, {
+          eval: true,
+          workerData: {port: endpoint.port, text},
+        });
+        client.once('message', () => {
+          client.postMessage('send');
+          Atomics.wait(
+            new Int32Array(new SharedArrayBuffer(4)),
+            0,
+            0,
+            PAUSE_MS,
+          );
+        });
+        t.teardown(async () => {
+          endpoint.close();
+          await client.terminate();
+        });
+      });
+    });
+    t.true(await seen);
+  });
+}
+
+async function listen(
+  handler: callerEndpoint.CallerEndpointOptions['handler'],
+): Promise<callerEndpoint.CallerEndpoint> {
+  const endpoint = new callerEndpoint.CallerEndpoint({
+    logger: runtime.silentLogger,
+    metrics: new runtime.Metrics(),
+    handler,
+  });
+  await endpoint.listen(0, '127.0.0.1');
+  return endpoint;
+}
