Measure the busy share of event loops; shed and route by it

Ruled out: slow backend servers, queues at billing (pressure below 0.1). Now daemons measure the part of their time for which the event loop is at work. Beyond 0.9 the service is under pressure; senders count its cube as load. Logs say when pressure begins and ends, and by what.

--- a/packages/admission/src/pressure-control.ts
+++ b/packages/admission/src/pressure-control.ts
@@ -26,6 +26,12 @@
 /** Waiting calls are to be gone after this time, in milliseconds. */
 const QUEUE_DRAIN_MS = 250;
 
+/**
+ * The part of its time that a process may be at work; beyond it, what arrives
+ * at once waits for long.
+ */
+const TARGET_BUSY_SHARE = 0.9;
+
 /** An event loop that is later than this cannot keep up. */
 const TARGET_LAG_MS = 40;
 
@@ -46,6 +52,8 @@
   readonly intervalMs: number;
   /** How late the event loop is, in milliseconds. */
   readonly lagMs: number;
+  /** Part of the time for which the event loop was at work, from 0 to 1. */
+  readonly busyShare: number;
 }
 
 /**
@@ -108,17 +116,27 @@
 
   /** The offered load as a multiple of the capacity. */
   private loadOf(observation: CapacityObservation): number {
-    const {averageRunMs, capacity, intervalMs, lagMs, waiting} = observation;
+    const ofProcess = processLoad(observation);
+    const {averageRunMs, capacity, intervalMs, waiting} = observation;
     const queued = (waiting * intervalMs) / QUEUE_DRAIN_MS;
-    const busyMs = (this.arrivals + queued) * averageRunMs;
-    const load = busyMs / (capacity * intervalMs);
-    const late = Math.max(0, lagMs - TARGET_LAG_MS) / LAG_SCALE_MS;
-    if (late > 0) return Math.max(load, TARGET_LOAD * (1 + late));
+    const runMs = (this.arrivals + queued) * averageRunMs;
+    const ofSlots = runMs / (capacity * intervalMs);
     // Chance brings more calls into some observations than into others; only
     // calls that had to wait or were refused show an overload.
     const congested = waiting > 0 || this.refusals > 0;
-    if (!congested) return Math.min(load, TARGET_LOAD);
+    if (!congested) return Math.max(Math.min(ofSlots, TARGET_LOAD), ofProcess);
     const refusedShare = Math.min(0.9, this.refusals / (this.arrivals || 1));
-    return Math.max(load, TARGET_LOAD / (1 - refusedShare));
+    return Math.max(ofSlots, ofProcess, TARGET_LOAD / (1 - refusedShare));
   }
 }
+
+/**
+ * The load of the process as a multiple of what it can do. A process that has
+ * no time left cannot be more than busy; its lag tells the excess.
+ */
+function processLoad(observation: CapacityObservation): number {
+  const {busyShare, lagMs} = observation;
+  const late = Math.max(0, lagMs - TARGET_LAG_MS) / LAG_SCALE_MS;
+  const busy = busyShare / TARGET_BUSY_SHARE;
+  return TARGET_LOAD * (late > 0 ? Math.max(busy, 1 + late) : busy);
+}
--- a/packages/admission/src/test/chain-simulation.ts
+++ b/packages/admission/src/test/chain-simulation.ts
@@ -34,13 +34,26 @@
   readonly goodput: number;
   /** Important requests that succeeded, as a part of those that came. */
   readonly important: number;
+  /** Average time that calls wait for the processor of the last service. */
+  readonly averageLagMs: number;
 }
 
+/** What limits the last service of the chain. */
+export type Bottleneck =
+  /** Its backend servers. */
+  | 'slots'
+  /** The processor time of its daemons; the slots are never used up. */
+  | 'processor';
+
 /**
  * Plays 12 s of requests whose nested calls all end at one service, `load`
  * times what that service can do, and a third of them important.
  */
-export function playChain(load: number, steps = 120): ChainResult {
+export function playChain(
+  load: number,
+  bottleneck: Bottleneck,
+  steps = 120,
+): ChainResult {
   const random = new runtime.SeededRandom(1);
   const control = new pressureControl.PressureControl();
   const arrivals: Arrivals[] = [];
@@ -52,11 +65,13 @@
   let queued = 0;
   let succeeded = 0;
   let important = 0;
+  let lagMs = 0;
   for (let step = 0; step < steps; step++) {
     if (step === SETTLING) {
       offered = 0;
       succeeded = 0;
       important = 0;
+      lagMs = 0;
     }
     const demand = CAPACITY * load * (0.9 + 0.2 * random.next());
     offered += demand * IMPORTANT_SHARE;
@@ -66,26 +81,51 @@
     const accepted = Math.min(calls, 2 * CAPACITY - queued);
     const refused = calls - accepted;
     queued = Math.max(0, queued + accepted - CAPACITY);
+    lagMs += (queued / CAPACITY) * OBSERVATION_MS;
     const whole = (1 - (calls > 0 ? refused / calls : 0)) ** NESTED_CALLS;
     succeeded += calls * whole;
     important += now.important * whole;
     for (let call = 0; call < calls; call++) control.noteArrival();
     for (let call = 0; call < refused; call++) control.noteRefusal(true);
-    control.update({
-      capacity: CAPACITY,
-      averageRunMs: OBSERVATION_MS,
-      waiting: queued,
-      intervalMs: OBSERVATION_MS,
-      lagMs: 0,
-    });
+    control.update(observe(bottleneck, calls, queued));
     pressures.push(control.value);
   }
   return {
     goodput: succeeded / (CAPACITY * (steps - SETTLING)),
     important: important / offered,
+    averageLagMs: lagMs / (steps - SETTLING),
   };
 }
 
+function observe(
+  bottleneck: Bottleneck,
+  calls: number,
+  queued: number,
+): pressureControl.CapacityObservation {
+  const intervalMs = OBSERVATION_MS;
+  const averageRunMs = OBSERVATION_MS;
+  switch (bottleneck) {
+    case 'slots':
+      return {
+        capacity: CAPACITY,
+        averageRunMs,
+        waiting: queued,
+        intervalMs,
+        lagMs: 0,
+        busyShare: 0.1,
+      };
+    case 'processor':
+      return {
+        capacity: 10 * CAPACITY,
+        averageRunMs,
+        waiting: 0,
+        intervalMs,
+        lagMs: (queued / CAPACITY) * OBSERVATION_MS,
+        busyShare: Math.min(1, (calls + queued) / CAPACITY),
+      };
+  }
+}
+
 /** Spreads the calls of what is not shed over the time of a chain. */
 function admit(
   arrivals: Arrivals[],
--- a/packages/admission/src/test/pressure_test.ts
+++ b/packages/admission/src/test/pressure_test.ts
@@ -11,7 +11,15 @@
   waiting = 0,
   lagMs = 0,
 ): pressureControl.CapacityObservation {
-  return {capacity, averageRunMs: 100, waiting, intervalMs: 100, lagMs};
+  const busyShare = 0.1;
+  return {
+    capacity,
+    averageRunMs: 100,
+    waiting,
+    intervalMs: 100,
+    lagMs,
+    busyShare,
+  };
 }
 
 /**
@@ -129,10 +137,19 @@
 ];
 for (const [name, load] of CHAINS) {
   test(`a deep chain serves nine tenths of its capacity at ${name}`, t => {
-    const result = chainSimulation.playChain(load);
+    const result = chainSimulation.playChain(load, 'slots');
     t.true(result.goodput >= 0.9, `goodput ${result.goodput}`);
     t.true(result.important >= 0.9, `important ${result.important}`);
   });
+
+  // Guards against daemons that spend all their processor time: every call
+  // through them is late, and requests fail after most of their work.
+  test(`a processor-bound chain holds its load at ${name}`, t => {
+    const result = chainSimulation.playChain(load, 'processor');
+    t.true(result.goodput >= 0.8, `goodput ${result.goodput}`);
+    t.true(result.important >= 0.9, `important ${result.important}`);
+    t.true(result.averageLagMs <= 50, `lag ${result.averageLagMs} ms`);
+  });
 }
 
 test('calls that vary by chance are not shed below the capacity', t => {
--- a/packages/host-daemon/src/host-daemon.ts
+++ b/packages/host-daemon/src/host-daemon.ts
@@ -90,7 +90,9 @@
     const entry = new admission.PressureTable();
     this.local = new localTarget.LocalTarget({
       clock,
+      logger,
       metrics,
+      meter: new runtime.EventLoopMeter(),
       dialect: options.dialect,
       client: this.client,
       state: this.targetState,
@@ -191,9 +193,7 @@
       await readinessServer.serveResources(
         {
           [settings.readinessPath]: () =>
-            this.isReady
-              ? {status: 200, type: 'text/plain', text: 'ready\n'}
-              : {status: 503, type: 'text/plain', text: 'not ready\n'},
+            readinessServer.readinessOf(this.isReady),
         },
         settings.readiness.port,
         settings.readiness.address,
--- a/packages/host-daemon/src/load-observer.ts
+++ b/packages/host-daemon/src/load-observer.ts
@@ -7,6 +7,12 @@
 /** A process that is later than this has input that it has not read yet. */
 const LATE_MS = 50;
 
+/** Weight of the newest observation in the busy share of the process. */
+const BUSY_STEP = 0.3;
+
+/** From this pressure on, the log says that requests are shed for it. */
+const NOTABLE_PRESSURE = 0.05;
+
 /** The slots of the local backend server, as far as they are observed. */
 export interface ObservedSlots {
   readonly capacity: number;
@@ -15,6 +21,13 @@
   readonly queueLength: number;
 }
 
+export interface LoadObserverOptions {
+  readonly clock: runtime.Clock;
+  readonly logger: runtime.Logger;
+  readonly slots: ObservedSlots;
+  readonly meter: Pick<runtime.EventLoopMeter, 'busyShare'>;
+}
+
 /**
  * Observes at regular intervals what the backend server and this process are
  * asked for and what they can do.
@@ -25,11 +38,15 @@
   private readonly sustainedLag = new admission.SustainedLag();
   /** Until the first observation a start may have held up the input. */
   private lastLagMs = Infinity;
+  private busy = 0;
+  private isNotable = false;
 
-  constructor(
-    private readonly clock: runtime.Clock,
-    private readonly slots: ObservedSlots,
-  ) {}
+  constructor(private readonly options: LoadObserverOptions) {}
+
+  /** Part of its time for which this process is at work, from 0 to 1. */
+  get busyShare(): number {
+    return this.busy;
+  }
 
   /** The part of the demand that services above should not begin. */
   get servicePressure(): number {
@@ -71,11 +88,16 @@
       this.processPressure,
       {source: 'process'},
     );
+    metrics.gauge(
+      'event_loop_busy_share',
+      'Part of its time for which the event loop was at work, from 0 to 1.',
+      this.busyShare,
+    );
   }
 
   /** Runs until the signal aborts. */
   async run(stop: runtime.CancelSignal): Promise<void> {
-    const {clock} = this;
+    const {clock} = this.options;
     while (!stop.aborted) {
       const dueMs = clock.monotonicMs() + OBSERVATION_MS;
       await clock.delay(OBSERVATION_MS, stop);
@@ -85,19 +107,46 @@
 
   private observe(lagMs: number): void {
     this.lastLagMs = lagMs;
-    const {capacity, queueLength, runMs} = this.slots;
+    const {meter, slots} = this.options;
+    const {capacity, queueLength, runMs} = slots;
+    this.busy += BUSY_STEP * (meter.busyShare() - this.busy);
     const observation: admission.CapacityObservation = {
       capacity,
       averageRunMs: runMs,
       waiting: queueLength,
       intervalMs: OBSERVATION_MS,
       lagMs,
+      busyShare: this.busy,
     };
     this.service.update(observation);
     this.process.update({
       ...observation,
       waiting: 0,
       lagMs: this.sustainedLag.note(lagMs),
+      // Most of what keeps a process at work may come from other hosts, and
+      // shedding its own clients would not relieve it.
+      busyShare: 0,
+    });
+    this.noteChange(observation);
+  }
+
+  /** Logs when a notable pressure begins and when it has ended. */
+  private noteChange(observation: admission.CapacityObservation): void {
+    const pressure = Math.max(this.servicePressure, this.processPressure);
+    const ends = pressure === 0;
+    if (this.isNotable ? !ends : pressure < NOTABLE_PRESSURE) return;
+    this.isNotable = !ends;
+    this.options.logger.info(ends ? 'pressure-ended' : 'pressure-begun', {
+      service: rounded(this.servicePressure),
+      process: rounded(this.processPressure),
+      busyShare: rounded(observation.busyShare),
+      lagMs: Math.round(observation.lagMs),
+      waiting: observation.waiting,
+      capacity: observation.capacity,
     });
   }
 }
+
+function rounded(share: number): number {
+  return Math.round(share * 100) / 100;
+}
--- a/packages/host-daemon/src/local-target.ts
+++ b/packages/host-daemon/src/local-target.ts
@@ -28,7 +28,9 @@
 
 export interface LocalTargetOptions {
   readonly clock: runtime.Clock;
+  readonly logger: runtime.Logger;
   readonly metrics: runtime.Metrics;
+  readonly meter: Pick<runtime.EventLoopMeter, 'busyShare'>;
   readonly dialect: callDialect.CallDialect;
   readonly client: transport.WholeExchangeClient;
   readonly state: localTargetState.LocalTargetState;
@@ -51,7 +53,8 @@
   constructor(private readonly options: LocalTargetOptions) {
     const {dialect} = options;
     this.slots = new admission.SlotAdmission(options.state.slots);
-    this.observer = new loadObserver.LoadObserver(options.clock, this.slots);
+    const {slots} = this;
+    this.observer = new loadObserver.LoadObserver({...options, slots});
     this.names = {
       requestId: dialect.requestIdHeader.toLowerCase(),
       load: dialect.loadHeader.toLowerCase(),
@@ -68,6 +71,7 @@
       running: this.slots.runningCount,
       waiting: this.slots.queueLength,
       slots: this.slots.slotCount,
+      busyShare: rounded(this.observer.busyShare),
       ...(pressure > 0 ? {pressure: rounded(pressure)} : {}),
       ...(downstream > 0 ? {downstreamPressure: rounded(downstream)} : {}),
     };
--- a/packages/host-daemon/src/readiness-server.ts
+++ b/packages/host-daemon/src/readiness-server.ts
@@ -35,3 +35,10 @@
     server.listen(port, address, () => resolve(server));
   });
 }
+
+/** What the platform reads to decide whether new work comes to this host. */
+export function readinessOf(isReady: boolean): TextResource {
+  return isReady
+    ? {status: 200, type: 'text/plain', text: 'ready\n'}
+    : {status: 503, type: 'text/plain', text: 'not ready\n'};
+}
--- a/packages/host-daemon/src/test/load-observer_test.ts
+++ b/packages/host-daemon/src/test/load-observer_test.ts
@@ -3,6 +3,8 @@
 import * as loadObserver from '../load-observer.js';
 import * as lateClock from './late-clock.js';
 
+const IDLE_SLOTS = {slots: {capacity: 10, runMs: 50, queueLength: 0}};
+
 /** Guards against a host without processor time that takes every request. */
 const CASES: ReadonlyArray<
   readonly [string, readonly number[], (pressure: number) => boolean]
@@ -23,12 +25,32 @@
 for (const [name, lagsMs, holds] of CASES) {
   test(`a process that is ${name}`, async t => {
     const stop = new runtime.CancelSource();
-    const observer = new loadObserver.LoadObserver(
-      new lateClock.LateClock(lagsMs, stop),
-      {capacity: 10, runMs: 50, queueLength: 0},
-    );
+    const observer = new loadObserver.LoadObserver({
+      ...IDLE_SLOTS,
+      clock: new lateClock.LateClock(lagsMs, stop),
+      logger: runtime.silentLogger,
+      meter: {busyShare: () => 0},
+    });
     await observer.run(stop);
     const pressure = observer.processPressure;
     t.true(holds(pressure), `${pressure}`);
   });
 }
+
+test('a process that is always at work reports pressure, not its clients', async t => {
+  // Guards against daemons that are out of processor time unnoticed, and
+  // against shedding clients that are not the cause.
+  const stop = new runtime.CancelSource();
+  const events: string[] = [];
+  const note = (event: string) => void events.push(event);
+  let observations = 0;
+  const observer = new loadObserver.LoadObserver({
+    ...IDLE_SLOTS,
+    clock: new lateClock.LateClock(new Array<number>(80).fill(0), stop),
+    logger: {...runtime.silentLogger, info: note},
+    meter: {busyShare: () => (observations++ < 40 ? 1 : 0.2)},
+  });
+  await observer.run(stop);
+  t.deepEqual(events, ['pressure-begun', 'pressure-ended']);
+  t.is(observer.processPressure, 0);
+});
--- a/packages/host-daemon/src/test/local-target_test.ts
+++ b/packages/host-daemon/src/test/local-target_test.ts
@@ -49,7 +49,9 @@
     } as unknown as transport.WholeExchangeClient;
     const target = new localTarget.LocalTarget({
       clock,
+      logger: runtime.silentLogger,
       metrics: new runtime.Metrics(),
+      meter: {busyShare: () => 0},
       dialect: fixtures.DIALECT,
       client,
       state: new localTargetState.LocalTargetState('parts', '10.0.0.1', 80, 0),
--- a/packages/protocol/src/frame-shapes.ts
+++ b/packages/protocol/src/frame-shapes.ts
@@ -53,6 +53,7 @@
   ['running', shape.isCount],
   ['waiting', shape.isCount],
   ['slots', shape.isCount],
+  ['busyShare', optional(shape.isAmount)],
   ['pressure', optional(shape.isAmount)],
   ['downstreamPressure', optional(shape.isAmount)],
 ]);
--- a/packages/protocol/src/frames.ts
+++ b/packages/protocol/src/frames.ts
@@ -103,6 +103,8 @@
   readonly waiting: number;
   /** Calls that the backend server can run at once. */
   readonly slots: number;
+  /** Part of its time for which the daemon is at work, from 0 to 1. */
+  readonly busyShare?: number;
   /** Pressure of the service and of those below it, from 0 to 1. */
   readonly pressure?: number;
   /** Pressure of the services below alone. */
--- a/packages/routing/src/target-board.ts
+++ b/packages/routing/src/target-board.ts
@@ -19,6 +19,12 @@
 /** Load share that a target of another host must be below. */
 const REMOTE_HOST_PENALTY = 0.1;
 
+/**
+ * Spread of the cost of a busy daemon. Senders know it some time later; with
+ * one cost for all they would move together from one target to the next.
+ */
+const BUSY_SPREAD = 0.5;
+
 /** Load share that is added while a target is slow after its start. */
 const COLD_PENALTY = 0.3;
 
@@ -53,6 +59,7 @@
 interface TargetRecord {
   ownRunning: number;
   reportedLoad: number;
+  reportedBusyShare: number;
   reportedAtMs: number;
   sentSinceReport: number;
   failureRate: number;
@@ -64,7 +71,7 @@
 /**
  * What this process has seen of each target, and the choice among them: the
  * lowest load share, with penalties for another host or availability zone, a
- * cold start and recent failures.
+ * busy daemon, a cold start and recent failures.
  */
 export class TargetBoard {
   private readonly records = new Map<string, TargetRecord>();
@@ -132,6 +139,7 @@
     record.ownRunning = Math.max(0, record.ownRunning - 1);
     if (load) {
       record.reportedLoad = load.running + load.waiting;
+      record.reportedBusyShare = load.busyShare ?? 0;
       record.reportedAtMs = nowMs;
       record.sentSinceReport = 0;
     }
@@ -176,10 +184,20 @@
     if (server.availabilityZone !== this.ownZone) cost += REMOTE_ZONE_PENALTY;
     if (nowMs < coldUntilMs) cost += COLD_PENALTY;
     const record = this.records.get(server.instance);
-    if (record) cost += FAILURE_WEIGHT * this.failureRate(record, nowMs);
+    if (record) {
+      cost += FAILURE_WEIGHT * this.failureRate(record, nowMs);
+      cost += this.busyCost(record, nowMs);
+    }
     return cost;
   }
 
+  /** Hardly counts up to half the time, as waiting begins beyond it. */
+  private busyCost(record: TargetRecord, nowMs: number): number {
+    if (nowMs - record.reportedAtMs >= LOAD_LIFETIME_MS) return 0;
+    const spread = 1 + BUSY_SPREAD * (this.random.next() - 0.5);
+    return record.reportedBusyShare ** 3 * spread;
+  }
+
   /** A random part of the candidates, those of the own zone first. */
   private sample(
     candidates: readonly directory.BackendServer[],
@@ -225,6 +243,7 @@
       record = {
         ownRunning: 0,
         reportedLoad: 0,
+        reportedBusyShare: 0,
         reportedAtMs: -Infinity,
         sentSinceReport: 0,
         failureRate: 0,
--- a/packages/routing/src/test/target-board_test.ts
+++ b/packages/routing/src/test/target-board_test.ts
@@ -45,6 +45,22 @@
     },
     'far',
   ],
+  [
+    'the daemon of the near target is always at work: the far one',
+    seen => {
+      seen.noteStart('near');
+      seen.noteEnd('near', 'succeeded', {...load(0), busyShare: 1}, 0);
+    },
+    'far',
+  ],
+  [
+    'the daemon of the near target is half the time at work: the near one',
+    seen => {
+      seen.noteStart('near');
+      seen.noteEnd('near', 'succeeded', {...load(0), busyShare: 0.5}, 0);
+    },
+    'near',
+  ],
   [
     'the near target fails part of its calls: the far one',
     seen => {
--- a/packages/runtime/src/index.ts
+++ b/packages/runtime/src/index.ts
@@ -9,6 +9,7 @@
   ProtocolError,
   TimeoutError,
 } from './errors.js';
+export {EventLoopMeter} from './event-loop-meter.js';
 export {rendezvousOrder, sha256Hex, unitHash} from './hashing.js';
 export {LineWriter} from './line-writer.js';
 export {createLogger, LogLevel, silentLogger} from './logger.js';
