--- a/packages/runtime/src/clock.ts
+++ b/packages/runtime/src/clock.ts
@@ -1,3 +1,4 @@
+import * as performanceHooks from 'node:perf_hooks';
 import type * as cancelSignal from './cancel-signal.js';
 
 /** Time source and timers. Deciding functions take the time as an argument. */
@@ -19,7 +20,8 @@
 /** The clock of the machine. */
 export class SystemClock implements Clock {
   monotonicMs(): number {
-    return Number(process.hrtime.bigint()) / 1e6;
+    // Cheaper than process.hrtime.bigint(); every call asks some ten times.
+    return performanceHooks.performance.now();
   }
 
   wallMs(): number {
