Tell requests of equal organisations apart by their route's priority

Now the organisation decides first and the route between equals, at entries, in the queues of targets and in the frames between them.

--- a/packages/host-daemon/src/caller-path.ts
+++ b/packages/host-daemon/src/caller-path.ts
@@ -12,6 +12,7 @@
 import type * as fleetState from './fleet-state.js';
 import type * as loadObserver from './load-observer.js';
 import type * as requestForwarder from './request-forwarder.js';
+import * as requestPriority from './request-priority.js';
 
 /** Deadline of a request whose client names none or a malformed one. */
 const DEFAULT_DEADLINE_MS = 10_000;
@@ -125,7 +126,7 @@
       return this.answers.refuse(requestId, 'noTarget', remainingMs, arrivedMs);
     }
     const nested = keyless && route.isPublic;
-    const priority = organisation?.priority ?? route.priority;
+    const priority = requestPriority.requestPriority(organisation, route);
     const shedding = nested ? null : this.sheddingOf(service, priority);
     if (shedding) {
       return this.answers.refuse(
--- a/packages/host-daemon/src/caller-request.ts
+++ b/packages/host-daemon/src/caller-request.ts
@@ -16,6 +16,7 @@
   readonly service: string;
   readonly organisation: routing.Organisation | null;
   readonly nested: boolean;
+  /** 0 is the most important; see request-priority.ts. */
   readonly priority: number;
   /** Monotonic time by which the final answer leaves. */
   readonly deadlineMs: number;
--- a/packages/host-daemon/src/peer-path.ts
+++ b/packages/host-daemon/src/peer-path.ts
@@ -4,6 +4,7 @@
 import type * as transport from '@camphorwharf/transport';
 import type * as fleetReports from './fleet-reports.js';
 import type * as localTarget from './local-target.js';
+import * as requestPriority from './request-priority.js';
 import type * as targetCall from './target-call.js';
 
 /** Time for which a started call or a tombstone outlives its deadline. */
@@ -34,8 +35,8 @@
       return;
     }
     const nowMs = clock.monotonicMs();
-    const {requestId, remainingMs, organisation, importance, idempotent} =
-      head.context;
+    const {context} = head;
+    const {requestId, remainingMs, organisation, idempotent} = context;
     const verdict = register.start(
       requestId,
       head.attempt,
@@ -67,7 +68,7 @@
         instance: head.instance,
         callerService: head.callerService ?? '',
         organisation,
-        priority: importance,
+        priority: requestPriority.priorityOf(context),
         nested: head.nested ?? false,
         idempotent,
         remainingMs,
--- a/packages/host-daemon/src/target-call.ts
+++ b/packages/host-daemon/src/target-call.ts
@@ -12,6 +12,7 @@
   readonly instance: string;
   readonly callerService: string;
   readonly organisation: string | null;
+  /** 0 is the most important; see request-priority.ts. */
   readonly priority: number;
   readonly nested: boolean;
   readonly idempotent: boolean;
--- a/packages/host-daemon/src/target-sender.ts
+++ b/packages/host-daemon/src/target-sender.ts
@@ -4,6 +4,7 @@
 import type * as transport from '@camphorwharf/transport';
 import type * as callerRequest from './caller-request.js';
 import type * as localTarget from './local-target.js';
+import * as requestPriority from './request-priority.js';
 import * as timerSteps from './timer-steps.js';
 import type * as targetCall from './target-call.js';
 
@@ -143,8 +144,7 @@
       context: {
         requestId: request.requestId,
         organisation: request.organisation?.name ?? null,
-        importance: Math.min(3, request.priority) as protocol.ImportanceClass,
-        rank: 0,
+        ...requestPriority.rankOf(request.priority),
         remainingMs,
         retries: 0,
         depth: 1,
