Test of the planned stop: start its five calls whatever the host is doing

Cause: beside busy processes the admission of the target refuses some of five calls that come at once (seen: 503, reason overloaded, four started). Refused calls have not run, and the test is about calls that run, so a refused one is sent again until all five have started.

--- a/packages/daemon/src/test/daemon_test.ts
+++ b/packages/daemon/src/test/daemon_test.ts
@@ -87,6 +87,22 @@
 
 const withKey = {authorization: `Bearer ${fixture.KEY}`};
 
+/**
+ * Sends a call until it is started. Under the load of other processes the
+ * admission refuses some calls of a burst, which have not run.
+ */
+async function startedCall(port: number): ReturnType<typeof call> {
+  const clock = new runtime.SystemClock();
+  for (;;) {
+    const answer = await call(port, '/parts/orders', {
+      method: 'POST',
+      headers: withKey,
+    });
+    if (answer.outcome !== 'not-run') return answer;
+    await clock.delay(20);
+  }
+}
+
 /** Starts a daemon before the backend server and waits until it serves. */
 async function startFleet(
   t: ava.ExecutionContext,
@@ -302,9 +318,7 @@
   });
   const {callerPort, daemon} = await startFleet(t, port);
   const before = backendServer.report().started;
-  const running = Array.from({length: 5}, () =>
-    call(callerPort, '/parts/orders', {method: 'POST', headers: withKey}),
-  );
+  const running = Array.from({length: 5}, () => startedCall(callerPort));
   await until(async () => backendServer.report().started >= before + 5);
   daemon.beginStop();
   t.false(daemon.ready);
