Count the pressure of a called service by the calls that runs make to it

A keyless request of a client to a public route looks like a call of the backend server of its host. One such request to dispatch at a billing host made billing report the pressure of dispatch, which dispatch then reported in turn, each holding up the other. Ruled out: the source of the pressure (pressure-ended at both), the mix. A request cannot be told from a call by its form, so a called service counts by the calls that one run makes to it, at most in full; a few requests among hundreds of runs no longer count.

--- a/packages/admission/src/index.ts
+++ b/packages/admission/src/index.ts
@@ -1,3 +1,4 @@
+export {DownstreamPressure} from './downstream-pressure.js';
 export type * from './interfaces.js';
 export {PressureControl} from './pressure-control.js';
 export type {CapacityObservation} from './pressure-control.js';
--- a/packages/admission/src/pressure-table.ts
+++ b/packages/admission/src/pressure-table.ts
@@ -41,11 +41,14 @@
     return entry ? current(entry, nowMs) : 0;
   }
 
-  /** The highest pressure of any service. */
-  highest(nowMs: number): number {
+  /** The highest pressure of any service, each times its weight. */
+  highest(
+    nowMs: number,
+    weightOf: (service: string) => number = () => 1,
+  ): number {
     let highest = 0;
-    for (const entry of this.entries.values()) {
-      highest = Math.max(highest, current(entry, nowMs));
+    for (const [service, entry] of this.entries) {
+      highest = Math.max(highest, current(entry, nowMs) * weightOf(service));
     }
     return highest;
   }
--- a/packages/host-daemon/src/host-daemon.ts
+++ b/packages/host-daemon/src/host-daemon.ts
@@ -86,7 +86,7 @@
       nowMs: () => clock.monotonicMs(),
       maximumConnections: () => this.targetState.slots + SPARE_CONNECTIONS,
     });
-    const downstream = new admission.PressureTable();
+    const downstream = new admission.DownstreamPressure();
     const entry = new admission.PressureTable();
     this.local = new localTarget.LocalTarget({
       clock,
--- a/packages/host-daemon/src/local-target.ts
+++ b/packages/host-daemon/src/local-target.ts
@@ -35,7 +35,7 @@
   readonly client: transport.WholeExchangeClient;
   readonly state: localTargetState.LocalTargetState;
   /** Pressure of the services that the backend server calls. */
-  readonly downstream: admission.PressureTable;
+  readonly downstream: admission.DownstreamPressure;
 }
 
 interface Waiter {
@@ -98,6 +98,7 @@
       return verdict;
     }
     const startedMs = clock.monotonicMs();
+    this.options.downstream.noteRun(startedMs);
     let completed = false;
     try {
       const answer = await this.exchange(call, deadlineMs - startedMs, signal);
--- a/packages/host-daemon/src/request-forwarder.ts
+++ b/packages/host-daemon/src/request-forwarder.ts
@@ -29,7 +29,7 @@
   readonly board: routing.TargetBoard;
   readonly sender: targetSender.TargetSender;
   /** Pressure of the services that the local backend server calls. */
-  readonly downstream: admission.PressureTable;
+  readonly downstream: admission.DownstreamPressure;
   /** Pressure below the services that requests of this host go to. */
   readonly entry: admission.PressureTable;
   readonly retryBudget: fleetLimits.RetryBudgetSettings;
@@ -48,9 +48,11 @@
   async forward(
     request: callerRequest.CallerRequest,
   ): Promise<targetCall.TargetAnswer> {
-    const {clock} = this.options;
+    const {clock, downstream} = this.options;
+    const nowMs = clock.monotonicMs();
+    if (request.nested) downstream.noteCall(request.service, nowMs);
     const budget = this.budget(request.service);
-    budget.noteFirstAttempt(clock.monotonicMs());
+    budget.noteFirstAttempt(nowMs);
     const excluded = new Set<string>();
     let doubt: targetCall.TargetAnswer | null = null;
     let last: targetCall.TargetAnswer | null = null;
--- a/packages/host-daemon/src/test/local-target_test.ts
+++ b/packages/host-daemon/src/test/local-target_test.ts
@@ -55,7 +55,7 @@
       dialect: fixtures.DIALECT,
       client,
       state: new localTargetState.LocalTargetState('parts', '10.0.0.1', 80, 0),
-      downstream: new admission.PressureTable(),
+      downstream: new admission.DownstreamPressure(),
     });
     if (lagMs !== null) await target.observer.run(stop);
     const cancel = new runtime.CancelSource();
