Report pressures to all hosts, and name the instance of a failed request

Ruled out: the ratio of calls to runs (0.8 to 1 there), daemons out of time (busy share 0.8), the source (pressure-begun at 26.6 s, after the wave). Now the reports that hosts send each other every 500 ms tell the pressures of the local backend server and below it; the test fails without it.

--- a/packages/admission/src/downstream-pressure.ts
+++ b/packages/admission/src/downstream-pressure.ts
@@ -52,10 +52,11 @@
 
   /** The highest pressure below, from 0 to 1. */
   highest(nowMs: number): number {
-    const runs = Math.max(1, this.runs.at(nowMs));
+    const runs = this.runs.at(nowMs);
     return this.table.highest(nowMs, service => {
       const calls = this.calls.get(service)?.at(nowMs) ?? 0;
-      return Math.min(1, calls / runs);
+      // Both fade alike, so that the ratio outlasts a time without runs.
+      return calls < runs ? calls / runs : Math.sign(calls);
     });
   }
 }
--- a/packages/host-daemon/src/caller-answers.ts
+++ b/packages/host-daemon/src/caller-answers.ts
@@ -68,6 +68,7 @@
             requestId: request.requestId,
             route: request.route.name,
             service: request.service,
+            instance: answer.instance ?? null,
             status: answer.status,
             elapsedMs: Math.round(elapsedMs),
             configuration: this.options.state.version,
@@ -90,15 +91,16 @@
           request,
         );
       case 'unknown':
-        return this.unknown(request, answer.reason, elapsedMs);
+        return this.unknown(request, answer, elapsedMs);
     }
   }
 
   private unknown(
     request: callerRequest.CallerRequest,
-    reason: protocol.UnknownReasonName,
+    answer: targetCall.TargetAnswer & {kind: 'unknown'},
     elapsedMs: number,
   ): callerEndpoint.EndpointAnswer {
+    const {instance, reason} = answer;
     this.options.metrics.count(
       'requests_unknown_total',
       'Requests whose outcome is unknown, by reason.',
@@ -108,6 +110,7 @@
       requestId: request.requestId,
       route: request.route.name,
       service: request.service,
+      instance: instance ?? null,
       reason,
       elapsedMs: Math.round(elapsedMs),
       configuration: this.options.state.version,
--- a/packages/host-daemon/src/fleet-reports.ts
+++ b/packages/host-daemon/src/fleet-reports.ts
@@ -1,3 +1,4 @@
+import type * as admission from '@camphorwharf/admission';
 import type * as fleetLimits from '@camphorwharf/fleet-limits';
 import type * as protocol from '@camphorwharf/protocol';
 import type * as routing from '@camphorwharf/routing';
@@ -26,6 +27,12 @@
   readonly state: fleetState.FleetState;
   readonly limits: fleetLimits.FleetRateLimits;
   readonly board: routing.TargetBoard;
+  /** Pressures of the local backend server and of those below it. */
+  readonly load: () => protocol.ReportedLoad;
+  /** Pressure of the services that the local backend server calls. */
+  readonly downstream: admission.DownstreamPressure;
+  /** Pressure below the services that requests of this host go to. */
+  readonly entry: admission.PressureTable;
   readonly peers: transport.PeerDirectory;
   readonly peerPort: number;
   readonly ownAddress: string;
@@ -48,6 +55,8 @@
   readonly configuration: number;
   readonly revision: number;
   readonly uses: fleetLimits.UseReport[];
+  readonly pressure: number;
+  readonly downstreamPressure: number;
 }
 
 /**
@@ -92,6 +101,8 @@
 
   /** Sends the present report to every other host. */
   sendAll(): void {
+    const {load, ownAddress} = this.options;
+    this.learnPressure(ownAddress, load());
     const report = this.compose();
     for (const host of this.hosts()) void this.sendTo(host, report);
   }
@@ -120,9 +131,27 @@
       if (server.hostAddress !== report.host) continue;
       board.noteLeaving(server.instance, report.leaving);
     }
+    this.learnPressure(report.host, report);
     if (this.knowsMore(report, nowMs)) void this.queryState(report, link);
   }
 
+  /**
+   * Answers tell the pressure too, but none come from a service whose requests
+   * are all shed; it would then seem to have none.
+   */
+  private learnPressure(
+    host: string,
+    load: Pick<protocol.ReportedLoad, 'pressure' | 'downstreamPressure'>,
+  ): void {
+    const {clock, downstream, entry, state} = this.options;
+    const nowMs = clock.monotonicMs();
+    for (const server of state.directory.servers()) {
+      if (server.hostAddress !== host) continue;
+      downstream.learn(server.service, load.pressure ?? 0, nowMs);
+      entry.learn(server.service, load.downstreamPressure ?? 0, nowMs);
+    }
+  }
+
   answerStateQuery(): protocol.ControlReply {
     return {
       kind: 'configurationAnswer',
@@ -136,6 +165,7 @@
     const {clock, incarnation, limits, ownAddress, startedMs, state} =
       this.options;
     const nowMs = clock.monotonicMs();
+    const {downstreamPressure, pressure} = this.options.load();
     return {
       host: ownAddress,
       incarnation,
@@ -146,6 +176,8 @@
       uses: limits
         .report(nowMs)
         .map(use => [use.organisation, use.used, use.demand, use.level]),
+      ...(pressure === undefined ? {} : {pressure}),
+      ...(downstreamPressure === undefined ? {} : {downstreamPressure}),
     };
   }
 
@@ -220,6 +252,8 @@
     return null;
   }
   if (!Array.isArray(uses)) return null;
+  const {downstreamPressure = 0, pressure = 0} = raw;
+  if (!isShare(pressure) || !isShare(downstreamPressure)) return null;
   const decoded: fleetLimits.UseReport[] = [];
   for (const use of uses as unknown[]) {
     if (!Array.isArray(use)) return null;
@@ -241,5 +275,11 @@
     configuration,
     revision,
     uses: decoded,
+    pressure,
+    downstreamPressure,
   };
 }
+
+function isShare(value: unknown): value is number {
+  return typeof value === 'number' && value >= 0 && value <= 1;
+}
--- a/packages/host-daemon/src/host-daemon.ts
+++ b/packages/host-daemon/src/host-daemon.ts
@@ -18,6 +18,7 @@
 import * as readinessServer from './readiness-server.js';
 import * as requestForwarder from './request-forwarder.js';
 import * as targetSender from './target-sender.js';
+import * as taskWatch from './task-watch.js';
 
 /** Heartbeats of peer connections; fewer than the default, as each costs. */
 const PEER_HEARTBEAT_MS = 500;
@@ -135,6 +136,9 @@
       state: this.state,
       limits: this.limits,
       board: this.board,
+      load: () => local.load,
+      downstream,
+      entry,
       peers,
       peerPort: settings.peers.port,
       ownAddress,
@@ -210,10 +214,13 @@
         settings.metrics.address,
       ),
     );
-    void this.watch('platform', reader.run(this.state, signal));
-    void this.watch('reports', this.reports.run(signal));
-    void this.watch('tick', this.tick(signal));
-    void this.watch('load', this.local.observer.run(signal));
+    const tasks = {
+      platform: reader.run(this.state, signal),
+      reports: this.reports.run(signal),
+      tick: this.tick(signal),
+      load: this.local.observer.run(signal),
+    };
+    taskWatch.watchTasks(tasks, logger);
     const {availabilityZone, hostId, service} = settings;
     logger.info('daemon-started', {hostId, service, availabilityZone});
   }
@@ -305,16 +312,4 @@
     // Hosts that have just learnt of each other share their use at once.
     if (this.members.count > before) this.reports.sendAll();
   }
-
-  /** A task that fails is a fault of this program; the log names it. */
-  private async watch(task: string, running: Promise<void>): Promise<void> {
-    try {
-      await running;
-    } catch (error) {
-      this.options.logger.error('task-failed', {
-        task,
-        error: error instanceof Error ? (error.stack ?? error.message) : error,
-      });
-    }
-  }
 }
--- a/packages/host-daemon/src/request-forwarder.ts
+++ b/packages/host-daemon/src/request-forwarder.ts
@@ -66,10 +66,11 @@
       const {result} = attempt;
       switch (result.kind) {
         case 'answer':
+          if (result.status < 500) return result;
+          last = doubt = {...result, instance: server.instance};
           if (!this.repeatsFailure(request, result.status, executions)) {
-            return result;
+            return last;
           }
-          last = doubt = result;
           executions++;
           break;
         case 'refused':
@@ -77,7 +78,7 @@
           refusals++;
           break;
         case 'unknown':
-          last = doubt = result;
+          last = doubt = {...result, instance: server.instance};
           executions++;
           break;
       }
@@ -125,7 +126,6 @@
     executions: number,
   ): boolean {
     return (
-      status >= 500 &&
       status !== 504 &&
       request.route.idempotent &&
       executions + 1 < request.route.maximumAttempts &&
--- a/packages/host-daemon/src/target-call.ts
+++ b/packages/host-daemon/src/target-call.ts
@@ -26,6 +26,8 @@
       readonly status: number;
       readonly headers: protocol.HeaderList;
       readonly body: Uint8Array;
+      /** The backend server that answered; named for failures alone. */
+      readonly instance?: string;
     }
   /** The call has not run and never will. */
   | {
@@ -38,4 +40,6 @@
   | {
       readonly kind: 'unknown';
       readonly reason: protocol.UnknownReasonName;
+      /** The backend server to which the call was sent last. */
+      readonly instance?: string;
     };
--- /dev/null
+++ b/packages/host-daemon/src/test/fleet-reports_test.ts
@@ -0,0 +1,105 @@
+import * as admission from '@camphorwharf/admission';
+import * as fleetLimits from '@camphorwharf/fleet-limits';
+import type * as protocol from '@camphorwharf/protocol';
+import * as routing from '@camphorwharf/routing';
+import * as runtime from '@camphorwharf/runtime';
+import type * as transport from '@camphorwharf/transport';
+import test from 'ava';
+import * as fleetReports from '../fleet-reports.js';
+import type * as fleetState from '../fleet-state.js';
+
+const HOSTS = {shop: '10.0.0.1', parts: '10.0.0.2', billing: '10.0.0.3'};
+
+/** The reports of one host of a fleet with a host for each service. */
+function host(service: keyof typeof HOSTS, load: protocol.ReportedLoad) {
+  const clock = new runtime.ManualClock(1_000);
+  const random = new runtime.SeededRandom(1);
+  const directory = new routing.BackendServerDirectory(0);
+  directory.replaceAll(
+    Object.entries(HOSTS).map(([name, hostAddress]) => ({
+      instance: name,
+      service: name,
+      hostAddress,
+      port: 80,
+      availabilityZone: 'a',
+      slots: 10,
+      phase: 'ready',
+      coldRemainingMs: 0,
+      startedAtMs: null,
+    })),
+    false,
+    1_000,
+  );
+  const sent: Array<Readonly<Record<string, unknown>>> = [];
+  const link = {
+    remote: {hostId: 'peer'},
+    report: (report: Readonly<Record<string, unknown>>) => sent.push(report),
+  } as unknown as transport.PeerLink;
+  const downstream = new admission.DownstreamPressure();
+  const entry = new admission.PressureTable();
+  const members = new fleetLimits.FleetMembers(HOSTS[service]);
+  const reports = new fleetReports.FleetReports({
+    clock,
+    logger: runtime.silentLogger,
+    state: {
+      directory,
+      version: 1,
+      storeRevision: 1,
+    } as unknown as fleetState.FleetState,
+    limits: new fleetLimits.FleetRateLimits(members, 1_000),
+    board: new routing.TargetBoard(HOSTS[service], 'a', random),
+    load: () => load,
+    downstream,
+    entry,
+    peers: {
+      connect: () => Promise.resolve(link),
+      connectFresh: () => Promise.resolve(link),
+    },
+    peerPort: 1,
+    ownAddress: HOSTS[service],
+    incarnation: 'i-1',
+    startedMs: 0,
+    intervalMs: 500,
+    phaseMs: 0,
+  });
+  return {clock, downstream, entry, link, reports, sent};
+}
+
+test('reports tell the pressure of services whose requests are all shed', async t => {
+  // Guards against entries that shed all requests of a service, hear nothing
+  // more of it, and let all of them in at once (sahab-hire, mix --seed
+  // 771467694812).
+  const load = {running: 0, waiting: 0, slots: 10};
+  const pressures = {pressure: 0.9, downstreamPressure: 0.6};
+  const parts = host('parts', {...load, ...pressures});
+  const shop = host('shop', load);
+  shop.downstream.noteRun(1_000);
+  shop.downstream.noteCall('parts', 1_000);
+  for (let round = 0; round < 20; round++) {
+    parts.reports.sendAll();
+    await new Promise(resolve => setImmediate(resolve));
+    shop.reports.receive(parts.sent.at(-1) ?? {}, shop.link);
+    await shop.clock.advance(500);
+  }
+  const nowMs = shop.clock.monotonicMs();
+  t.true(Math.abs(shop.downstream.highest(nowMs) - 0.9) < 0.01);
+  t.true(Math.abs(shop.entry.of('parts', nowMs) - 0.6) < 0.01);
+  t.is(shop.entry.of('billing', nowMs), 0);
+  t.true(parts.entry.of('parts', nowMs) > 0);
+});
+
+test('a report with an impossible pressure is rejected', t => {
+  const shop = host('shop', {running: 0, waiting: 0, slots: 10});
+  const report = {
+    host: HOSTS.parts,
+    incarnation: 'i-2',
+    ageMs: 1,
+    leaving: false,
+    configuration: 1,
+    revision: 1,
+    uses: [],
+    downstreamPressure: 7,
+  };
+  shop.reports.receive(report, shop.link);
+  t.is(shop.entry.of('parts', 1_000), 0);
+});
--- a/packages/host-daemon/src/test/host-daemon_test.ts
+++ b/packages/host-daemon/src/test/host-daemon_test.ts
@@ -142,6 +142,12 @@
     t.is(answer.status, status);
     const seen = fixture.hosts.reduce((sum, one) => sum + one.seen.length, 0);
     t.is(seen, runs);
+    // Without the instance nobody finds the host on which it may have run.
+    const line = host.logged.find(({event}) => event === 'request-unknown');
+    t.is(
+      typeof line?.fields?.instance,
+      status === 502 ? 'string' : 'undefined',
+    );
   });
 }
 
