--- a/packages/daemon/src/test/daemon_test.ts
+++ b/packages/daemon/src/test/daemon_test.ts
@@ -6,20 +6,11 @@
 import * as http from 'node:http';
 import * as net from 'node:net';
 import * as daemons from '../index.js';
+import * as steps from './caller-steps.js';
 import * as fixture from './declaration-fixture.js';
 
 const LARGE_BYTES = 20 * 1024 * 1024;
 
-interface Answer {
-  readonly status: number;
-  readonly outcome: string | undefined;
-  readonly body: Buffer;
-  /** Whether the whole body arrived. */
-  readonly complete: boolean;
-  /** Local port of the connection; equal ports mean the same connection. */
-  readonly localPort: number | undefined;
-}
-
 interface Fleet {
   readonly daemon: daemons.Daemon;
   readonly platform: standIns.PlatformStandIn;
@@ -42,67 +33,6 @@
   );
 }
 
-/** Repeats until the probe is true; the timeout of ava bounds it. */
-async function until(probe: () => Promise<boolean>): Promise<void> {
-  const clock = new runtime.SystemClock();
-  while (!(await probe())) await clock.delay(20);
-}
-
-interface CallOptions {
-  readonly method?: string;
-  readonly headers?: http.OutgoingHttpHeaders;
-  readonly body?: Buffer;
-  readonly agent?: http.Agent;
-}
-
-function call(
-  port: number,
-  path: string,
-  {method = 'GET', headers, body, agent}: CallOptions = {},
-): Promise<Answer> {
-  return new Promise((resolve, reject) => {
-    const request = http.request(
-      {host: '127.0.0.1', port, path, method, headers, agent: agent ?? false},
-      response => {
-        const localPort = response.socket.localPort;
-        const chunks: Buffer[] = [];
-        response.on('data', (chunk: Buffer) => chunks.push(chunk));
-        // A cut answer ends in an error; "close" follows in both cases.
-        response.on('error', () => undefined);
-        response.on('close', () =>
-          resolve({
-            status: response.statusCode ?? 0,
-            outcome: response.headers['camphorwharf-outcome'] as string,
-            body: Buffer.concat(chunks),
-            complete: response.complete,
-            localPort,
-          }),
-        );
-      },
-    );
-    request.on('error', reject);
-    request.end(body);
-  });
-}
-
-const withKey = {authorization: `Bearer ${fixture.KEY}`};
-
-/**
- * Sends a call until it is started. Under the load of other processes the
- * admission refuses some calls of a burst, which have not run.
- */
-async function startedCall(port: number): ReturnType<typeof call> {
-  const clock = new runtime.SystemClock();
-  for (;;) {
-    const answer = await call(port, '/parts/orders', {
-      method: 'POST',
-      headers: withKey,
-    });
-    if (answer.outcome !== 'not-run') return answer;
-    await clock.delay(20);
-  }
-}
-
 /** Starts a daemon before the backend server and waits until it serves. */
 async function startFleet(
   t: ava.ExecutionContext,
@@ -154,10 +84,12 @@
     daemon.beginStop();
     await daemon.stopped;
   });
-  await until(async () => daemon.ready);
+  await steps.until(async () => daemon.ready);
   // The bucket of a new owner starts empty, so the first calls are refused.
-  await until(async () => {
-    const answer = await call(callerPort, '/parts/items/0', {headers: withKey});
+  await steps.until(async () => {
+    const answer = await steps.call(callerPort, '/parts/items/0', {
+      headers: steps.withKey,
+    });
     return answer.status === 200;
   });
   return {daemon, platform, callerPort};
@@ -195,8 +127,8 @@
   const agent = new http.Agent({keepAlive: true, maxSockets: 1});
   t.teardown(() => agent.destroy());
 
-  const first = await call(callerPort, '/parts/items/1?a=b', {
-    headers: {...withKey, 'camphorwharf-organisation': 'forged'},
+  const first = await steps.call(callerPort, '/parts/items/1?a=b', {
+    headers: {...steps.withKey, 'camphorwharf-organisation': 'forged'},
     agent,
   });
   t.like(first, {status: 200, outcome: 'completed', complete: true});
@@ -208,7 +140,7 @@
 
   const started = backendServer.report().started;
   for (const headers of [{}, {authorization: 'Bearer other'}]) {
-    const answer = await call(callerPort, '/parts/items/1', {headers});
+    const answer = await steps.call(callerPort, '/parts/items/1', {headers});
     t.like(answer, {status: 401, outcome: 'not-run'});
   }
   t.is(backendServer.report().started, started, 'a refused call never runs');
@@ -216,32 +148,34 @@
   const key = `${new runtime.SystemClock().wallMs()}-order`;
   const order = {
     method: 'POST',
-    headers: {...withKey, 'idempotency-key': key},
+    headers: {...steps.withKey, 'idempotency-key': key},
     body: Buffer.from('one'),
   };
-  const ordered = await call(callerPort, '/parts/orders', order);
+  const ordered = await steps.call(callerPort, '/parts/orders', order);
   t.like(ordered, {status: 200, outcome: 'completed'});
-  const repeated = await call(callerPort, '/parts/orders', order);
+  const repeated = await steps.call(callerPort, '/parts/orders', order);
   t.like(repeated, {status: 409, outcome: 'unknown'});
   const differing = {...order, body: Buffer.from('two')};
-  const reused = await call(callerPort, '/parts/orders', differing);
+  const reused = await steps.call(callerPort, '/parts/orders', differing);
   t.like(reused, {status: 422, outcome: 'not-run'});
   t.deepEqual(backendServer.report().runsPerIdempotencyKey, {
     [`shop|${key}`]: 1,
   });
 
   publish(platform, 2, 'another-key');
-  let refused: Answer | null = null;
-  await until(async () => {
-    refused = await call(callerPort, '/parts/items/1', {
-      headers: withKey,
+  let refused: steps.Answer | null = null;
+  await steps.until(async () => {
+    refused = await steps.call(callerPort, '/parts/items/1', {
+      headers: steps.withKey,
       agent,
     });
     return refused.status !== 200;
   });
   t.like(refused, {status: 401, localPort: first.localPort});
   const replaced = {authorization: 'Bearer another-key'};
-  const renewed = await call(callerPort, '/parts/items/1', {headers: replaced});
+  const renewed = await steps.call(callerPort, '/parts/items/1', {
+    headers: replaced,
+  });
   t.is(renewed.status, 200);
   t.false(backendServer.report().sawAuthorization);
 });
@@ -250,9 +184,9 @@
   const {port} = await startBackendServer(t, {answerBytes: LARGE_BYTES});
   const {callerPort} = await startFleet(t, port);
   const body = Buffer.alloc(LARGE_BYTES, 'camphorwharf');
-  const answer = await call(callerPort, '/parts/orders', {
+  const answer = await steps.call(callerPort, '/parts/orders', {
     method: 'POST',
-    headers: withKey,
+    headers: steps.withKey,
     body,
   });
   t.like(answer, {status: 200, outcome: 'completed', complete: true});
@@ -301,10 +235,12 @@
   t.teardown(() => server.closeAllConnections());
   const {callerPort} = await startFleet(t, port);
   for (const [index, [name]] of TRUNCATIONS.entries()) {
-    const answer = await call(callerPort, `/parts/orders/${index}`, {
-      method: 'POST',
-      headers: withKey,
-    }).catch(() => null);
+    const answer = await steps
+      .call(callerPort, `/parts/orders/${index}`, {
+        method: 'POST',
+        headers: steps.withKey,
+      })
+      .catch(() => null);
     // Acceptable ends: a connection error, a cut answer, outcome unknown.
     const cut = answer === null || !answer.complete;
     t.true(cut || answer.outcome === 'unknown', name);
@@ -318,8 +254,8 @@
   });
   const {callerPort, daemon} = await startFleet(t, port);
   const before = backendServer.report().started;
-  const running = Array.from({length: 5}, () => startedCall(callerPort));
-  await until(async () => backendServer.report().started >= before + 5);
+  const running = Array.from({length: 5}, () => steps.startedCall(callerPort));
+  await steps.until(async () => backendServer.report().started >= before + 5);
   daemon.beginStop();
   t.false(daemon.ready);
   for (const answer of await Promise.all(running)) {
@@ -327,7 +263,7 @@
   }
   t.true(await daemon.stopped);
   t.is(backendServer.report().cancelled, 0);
-  await t.throwsAsync(call(callerPort, '/parts/public'), {
+  await t.throwsAsync(steps.call(callerPort, '/parts/public'), {
     code: 'ECONNREFUSED',
   });
 });
