--- a/packages/host-daemon/src/test/caller-path_test.ts
+++ b/packages/host-daemon/src/test/caller-path_test.ts
@@ -8,40 +8,7 @@
 import * as fleetState from '../fleet-state.js';
 import type * as requestForwarder from '../request-forwarder.js';
 import * as fixtures from './fleet-fixture.js';
-
-const CONFIGURATION: routing.FleetConfiguration = {
-  version: 1,
-  routes: [
-    {
-      name: 'parts',
-      host: 'shop.example',
-      prefix: '/parts/',
-      idempotent: true,
-      timeoutMs: 3_000,
-      objectiveMs: 1_000,
-      priority: 1,
-      maximumAttempts: 2,
-      isPublic: false,
-      destinations: [{service: 'parts', weight: 1}],
-    },
-  ],
-  services: [],
-  organisations: [
-    {
-      name: 'saloum-mills',
-      keys: ['key-1'],
-      priority: null,
-      ratePerSecond: 0,
-      burst: 0,
-    },
-  ],
-  limits: {
-    maximumHeaderBytes: 16_384,
-    maximumBodyBytes: 10_000_000,
-    headerTimeoutMs: 3_000,
-    idleTimeoutMs: 15_000,
-  },
-};
+import * as sampleConfiguration from './sample-configuration.js';
 
 /** Sends one request along the path of a daemon under these pressures. */
 async function send(
@@ -69,7 +36,10 @@
     onConfiguration: () => undefined,
     onServers: () => undefined,
   });
-  state.configurationRead(JSON.stringify(CONFIGURATION), 0);
+  state.configurationRead(
+    JSON.stringify(sampleConfiguration.fleetConfiguration()),
+    0,
+  );
   const entry = new admission.PressureTable();
   entry.learn('parts', pressureBelow, clock.monotonicMs());
   let forwarded = 0;
--- a/packages/host-daemon/src/test/fleet-fixture.ts
+++ b/packages/host-daemon/src/test/fleet-fixture.ts
@@ -5,6 +5,7 @@
 import type * as callDialect from '../call-dialect.js';
 import * as hostDaemon from '../host-daemon.js';
 import type * as publishedState from '../published-state.js';
+import * as sampleConfiguration from './sample-configuration.js';
 
 /** Header names of the tests; the deciding code knows none of its own. */
 export const DIALECT: callDialect.CallDialect = {
@@ -95,41 +96,11 @@
     organisation: Partial<routing.Organisation> = {},
     hosts: readonly FixtureHost[] = this.hosts,
   ): void {
-    const configuration: routing.FleetConfiguration = {
+    const configuration = sampleConfiguration.fleetConfiguration(
       version,
-      routes: [
-        {
-          name: 'parts',
-          host: 'shop.example',
-          prefix: '/parts/',
-          idempotent: true,
-          timeoutMs: 3_000,
-          objectiveMs: 1_000,
-          priority: 1,
-          maximumAttempts: 2,
-          isPublic: false,
-          destinations: [{service: 'parts', weight: 1}],
-          ...route,
-        },
-      ],
-      services: [],
-      organisations: [
-        {
-          name: 'saloum-mills',
-          keys: ['key-1'],
-          priority: null,
-          ratePerSecond: 0,
-          burst: 0,
-          ...organisation,
-        },
-      ],
-      limits: {
-        maximumHeaderBytes: 16_384,
-        maximumBodyBytes: 10_000_000,
-        headerTimeoutMs: 3_000,
-        idleTimeoutMs: 15_000,
-      },
-    };
+      route,
+      organisation,
+    );
     for (const host of hosts) {
       this.listenerOf(host).configurationRead(
         JSON.stringify(configuration),
