--- a/packages/admission/src/pressure-table.ts
+++ b/packages/admission/src/pressure-table.ts
@@ -18,7 +18,7 @@
   updatedMs: number;
 }
 
-/** The pressure of services as their targets report it with each answer. */
+/** The pressure of services as others report it, averaged over time. */
 export class PressureTable {
   private readonly entries = new Map<string, Entry>();
 
--- a/packages/host-daemon/src/caller-answers.ts
+++ b/packages/host-daemon/src/caller-answers.ts
@@ -6,6 +6,7 @@
 import type * as callerRequest from './caller-request.js';
 import type * as decisionLog from './decision-log.js';
 import type * as fleetState from './fleet-state.js';
+import * as roundedShare from './rounded-share.js';
 import type * as targetCall from './target-call.js';
 
 /** The part of its remaining time that a client waits at most. */
@@ -187,8 +188,8 @@
   const {source, pressure, share, priority} = shedding;
   return {
     shedBy: source,
-    pressure: Math.round(pressure * 100) / 100,
-    share: Math.round(share * 100) / 100,
+    pressure: roundedShare.roundedShare(pressure),
+    share: roundedShare.roundedShare(share),
     priority,
   };
 }
--- a/packages/host-daemon/src/load-observer.ts
+++ b/packages/host-daemon/src/load-observer.ts
@@ -1,5 +1,6 @@
 import * as admission from '@camphorwharf/admission';
 import type * as runtime from '@camphorwharf/runtime';
+import * as roundedShare from './rounded-share.js';
 
 /** Interval of the observations of the load. */
 const OBSERVATION_MS = 100;
@@ -76,18 +77,18 @@
 
   /** Shows the pressures in the metrics. */
   export(metrics: runtime.Metrics): void {
-    metrics.gauge(
-      'pressure',
-      'Part of the demand that should not begin, from 0 to 1, by source.',
-      this.servicePressure,
-      {source: 'service'},
-    );
-    metrics.gauge(
-      'pressure',
-      'Part of the demand that should not begin, from 0 to 1, by source.',
-      this.processPressure,
-      {source: 'process'},
-    );
+    const pressures = {
+      service: this.servicePressure,
+      process: this.processPressure,
+    };
+    for (const [source, pressure] of Object.entries(pressures)) {
+      metrics.gauge(
+        'pressure',
+        'Part of the demand that should not begin, from 0 to 1, by source.',
+        pressure,
+        {source},
+      );
+    }
     metrics.gauge(
       'event_loop_busy_share',
       'Part of its time for which the event loop was at work, from 0 to 1.',
@@ -137,16 +138,12 @@
     if (this.isNotable ? !ends : pressure < NOTABLE_PRESSURE) return;
     this.isNotable = !ends;
     this.options.logger.info(ends ? 'pressure-ended' : 'pressure-begun', {
-      service: rounded(this.servicePressure),
-      process: rounded(this.processPressure),
-      busyShare: rounded(observation.busyShare),
+      service: roundedShare.roundedShare(this.servicePressure),
+      process: roundedShare.roundedShare(this.processPressure),
+      busyShare: roundedShare.roundedShare(observation.busyShare),
       lagMs: Math.round(observation.lagMs),
       waiting: observation.waiting,
       capacity: observation.capacity,
     });
   }
 }
-
-function rounded(share: number): number {
-  return Math.round(share * 100) / 100;
-}
--- a/packages/host-daemon/src/local-target.ts
+++ b/packages/host-daemon/src/local-target.ts
@@ -5,6 +5,7 @@
 import type * as callDialect from './call-dialect.js';
 import * as loadObserver from './load-observer.js';
 import type * as localTargetState from './local-target-state.js';
+import * as roundedShare from './rounded-share.js';
 import type * as targetCall from './target-call.js';
 import * as timerSteps from './timer-steps.js';
 
@@ -71,9 +72,11 @@
       running: this.slots.runningCount,
       waiting: this.slots.queueLength,
       slots: this.slots.slotCount,
-      busyShare: rounded(this.observer.busyShare),
-      ...(pressure > 0 ? {pressure: rounded(pressure)} : {}),
-      ...(downstream > 0 ? {downstreamPressure: rounded(downstream)} : {}),
+      busyShare: roundedShare.roundedShare(this.observer.busyShare),
+      ...(pressure > 0 ? {pressure: roundedShare.roundedShare(pressure)} : {}),
+      ...(downstream > 0
+        ? {downstreamPressure: roundedShare.roundedShare(downstream)}
+        : {}),
     };
   }
 
@@ -291,8 +294,3 @@
 ): targetCall.TargetAnswer {
   return {kind: 'refused', reason, retryAfterMs, byServer};
 }
-
-/** Two digits are enough for a share, and take less room in a frame. */
-function rounded(share: number): number {
-  return Math.round(share * 100) / 100;
-}
--- a/packages/host-daemon/src/request-forwarder.ts
+++ b/packages/host-daemon/src/request-forwarder.ts
@@ -119,7 +119,11 @@
       : null;
   }
 
-  /** An idempotent request that failed early may succeed elsewhere. */
+  /**
+   * Whether to ask another backend server after a failure, a status of 500 or
+   * above. After 504 no time is left; the client of a request repeats it
+   * itself, but a backend server that makes a call does not.
+   */
   private repeatsFailure(
     request: callerRequest.CallerRequest,
     status: number,
--- a/packages/host-daemon/src/request-priority.ts
+++ b/packages/host-daemon/src/request-priority.ts
@@ -1,9 +1,10 @@
 import type * as protocol from '@camphorwharf/protocol';
 import type * as routing from '@camphorwharf/routing';
 
-/** Priorities of routes that are told apart within one of organisations. */
+/** Route priorities told apart for organisations of one priority. */
 const ROUTE_LEVELS = 8;
 
+/** The last importance class that frames carry. */
 const LOWEST_IMPORTANCE = 3;
 
 /**
