--- a/packages/host-daemon/src/caller-answers.ts
+++ b/packages/host-daemon/src/caller-answers.ts
@@ -48,7 +48,10 @@
 export class CallerAnswers {
   constructor(private readonly options: CallerAnswersOptions) {}
 
-  /** Turns the outcome of a forwarded request into its answer. */
+  /**
+   * Turns the outcome of a forwarded request into its answer; null when its
+   * caller has left and nobody reads one.
+   */
   conclude(
     request: callerRequest.CallerRequest,
     answer: targetCall.TargetAnswer,
@@ -56,6 +59,10 @@
   ): callerEndpoint.EndpointAnswer | null {
     const {clock, metrics} = this.options;
     const elapsedMs = clock.monotonicMs() - request.arrivedMs;
+    if (request.signal.aborted) {
+      this.abandon(request, elapsedMs);
+      return null;
+    }
     switch (answer.kind) {
       case 'answer':
         metrics.observeSeconds(
@@ -96,6 +103,26 @@
     }
   }
 
+  /** Tells requests whose caller has left from those that took too long. */
+  private abandon(
+    request: callerRequest.CallerRequest,
+    elapsedMs: number,
+  ): void {
+    const nested = String(request.nested);
+    this.options.metrics.count(
+      'requests_abandoned_total',
+      'Requests whose caller left before the answer, by nesting.',
+      {nested},
+    );
+    this.options.decisions.note('request-abandoned', {
+      requestId: request.requestId,
+      route: request.route.name,
+      service: request.service,
+      nested: request.nested,
+      elapsedMs: Math.round(elapsedMs),
+    });
+  }
+
   private unknown(
     request: callerRequest.CallerRequest,
     answer: targetCall.TargetAnswer & {kind: 'unknown'},
--- a/packages/host-daemon/src/local-target.ts
+++ b/packages/host-daemon/src/local-target.ts
@@ -5,7 +5,7 @@
 import type * as callDialect from './call-dialect.js';
 import * as loadObserver from './load-observer.js';
 import type * as localTargetState from './local-target-state.js';
-import * as roundedShare from './rounded-share.js';
+import * as reportedLoad from './reported-load.js';
 import * as startGate from './start-gate.js';
 import * as targetCall from './target-call.js';
 import * as timerSteps from './timer-steps.js';
@@ -76,19 +76,12 @@
   }
 
   get load(): protocol.ReportedLoad {
-    const nowMs = this.options.clock.monotonicMs();
-    const downstream = this.options.downstream.highest(nowMs);
-    const pressure = Math.max(this.observer.servicePressure, downstream);
-    return {
-      running: this.slots.runningCount,
-      waiting: this.slots.queueLength,
-      slots: this.slots.slotCount,
-      busyShare: roundedShare.roundedShare(this.observer.busyShare),
-      ...(pressure > 0 ? {pressure: roundedShare.roundedShare(pressure)} : {}),
-      ...(downstream > 0
-        ? {downstreamPressure: roundedShare.roundedShare(downstream)}
-        : {}),
-    };
+    return reportedLoad.reportedLoad(
+      this.slots,
+      this.observer,
+      this.options.downstream,
+      this.options.clock.monotonicMs(),
+    );
   }
 
   /** Runs one call. `signal` aborts when its sender has given up. */
--- a/packages/host-daemon/src/target-sender.ts
+++ b/packages/host-daemon/src/target-sender.ts
@@ -110,7 +110,10 @@
     clearTimeout(timer);
     request.signal.removeEventListener('abort', abort);
     if (attempt !== 'lost') return attempt;
-    if (result.kind === 'lost' && !result.sent) return unreachable();
+    if (result.kind === 'lost' && !result.sent) {
+      // A caller that has left says nothing of the target.
+      return request.signal.aborted ? notStarted('cancelled') : unreachable();
+    }
     if (limit.aborted) {
       return {
         result: {kind: 'unknown', reason: 'deadlineDuringRun'},
--- /dev/null
+++ b/packages/host-daemon/src/test/target-sender_test.ts
@@ -0,0 +1,98 @@
+import * as runtime from '@camphorwharf/runtime';
+import type * as transport from '@camphorwharf/transport';
+import test from 'ava';
+import type * as localTarget from '../local-target.js';
+import * as targetSender from '../target-sender.js';
+import * as sampleConfiguration from './sample-configuration.js';
+
+const SERVER = {
+  instance: 'instance-1',
+  service: 'parts',
+  hostAddress: '10.0.0.2',
+  port: 80,
+  availabilityZone: 'a',
+  slots: 10,
+  phase: 'ready',
+  coldRemainingMs: 0,
+  startedAtMs: null,
+} as const;
+
+interface Case {
+  readonly leaves: boolean;
+  readonly sent: boolean;
+  readonly kind: 'refused' | 'unknown';
+  readonly unreachable: boolean;
+}
+
+/**
+ * Guards against targets that are avoided because callers left, and against
+ * giving back tokens of calls that may have run.
+ */
+const CASES: Readonly<Record<string, Case>> = {
+  'the caller leaves before the call is written': {
+    leaves: true,
+    sent: false,
+    kind: 'refused',
+    unreachable: false,
+  },
+  'the caller leaves after the call was written': {
+    leaves: true,
+    sent: true,
+    kind: 'unknown',
+    unreachable: false,
+  },
+  'the connection ends before the call is written': {
+    leaves: false,
+    sent: false,
+    kind: 'refused',
+    unreachable: true,
+  },
+  'the connection ends after the call was written': {
+    leaves: false,
+    sent: true,
+    kind: 'unknown',
+    unreachable: true,
+  },
+};
+for (const [name, one] of Object.entries(CASES)) {
+  test(`a call without an answer: ${name}`, async t => {
+    const caller = new runtime.CancelSource();
+    const link = {
+      call: () => {
+        if (one.leaves) caller.abort();
+        return Promise.resolve({kind: 'lost', sent: one.sent});
+      },
+    } as unknown as transport.PeerLink;
+    const sender = new targetSender.TargetSender({
+      clock: new runtime.ManualClock(),
+      peers: {connect: () => Promise.resolve(link)} as never,
+      peerPort: 7_000,
+      ownAddress: '10.0.0.1',
+      ownService: 'shop',
+      local: {} as localTarget.LocalTarget,
+    });
+    const [route] = sampleConfiguration.fleetConfiguration().routes;
+    const attempt = await sender.send(
+      {
+        requestId: 'request-1',
+        method: 'GET',
+        path: '/parts/7',
+        headers: [],
+        body: null,
+        contentLength: null,
+        route,
+        service: 'parts',
+        organisation: null,
+        nested: true,
+        priority: 1,
+        deadlineMs: 1_000,
+        arrivedMs: 0,
+        signal: caller,
+      },
+      SERVER,
+      1,
+    );
+    t.is(attempt.result.kind, one.kind);
+    t.is(attempt.unreachable, one.unreachable);
+  });
+}
