--- a/packages/transport/src/whole-exchange.ts
+++ b/packages/transport/src/whole-exchange.ts
@@ -1,6 +1,7 @@
 import type * as net from 'node:net';
 import * as runtime from '@camphorwharf/runtime';
 import * as undici from 'undici';
+import * as bodyBudget from './body-budget.js';
 import * as httpHeaders from './http-headers.js';
 import * as wholeHandler from './whole-handler.js';
 
@@ -17,6 +18,8 @@
   readonly nowMs: () => number;
   /** The most connections; further requests are `notSent`. */
   readonly maximumConnections: () => number;
+  /** Bytes of unfinished answers that are kept at once. */
+  readonly maximumBufferedBytes?: number;
 }
 
 interface Connection {
@@ -35,8 +38,10 @@
   private readonly idle: Connection[] = [];
   private readonly connections = new Set<Connection>();
   private readonly origin: string;
+  private readonly budget: bodyBudget.BodyBudget;
 
   constructor(private readonly options: WholeExchangeOptions) {
+    this.budget = new bodyBudget.BodyBudget(options.maximumBufferedBytes);
     this.origin = `http://${options.address}:${options.port}`;
   }
 
@@ -59,6 +64,7 @@
     const handler = new wholeHandler.WholeHandler(
       () => connection.socket?.errored != null,
       reusable => this.release(connection, reusable),
+      this.budget,
     );
     handler.start(connection.client, request);
     return handler;
--- a/packages/transport/src/whole-handler.ts
+++ b/packages/transport/src/whole-handler.ts
@@ -1,11 +1,15 @@
 import type * as protocol from '@camphorwharf/protocol';
 import * as runtime from '@camphorwharf/runtime';
 import type * as undici from 'undici';
+import type * as bodyBudget from './body-budget.js';
 import * as httpHeaders from './http-headers.js';
 
 /** Answers above this size end the exchange; it bounds memory. */
 const MAXIMUM_ANSWER_BYTES = 32 * 1024 * 1024;
 
+/** A server that sends more heads before its answer never ends them. */
+const MAXIMUM_INTERIM_HEADS = 8;
+
 export interface WholeRequest {
   readonly method: string;
   readonly path: string;
@@ -53,12 +57,14 @@
   private closes = false;
   private chunks: Uint8Array[] = [];
   private bytes = 0;
+  private interimHeads = 0;
   private settled = false;
   private failure: Error | null = null;
 
   constructor(
     private readonly socketFailed: () => boolean,
     private readonly release: (reusable: boolean) => void,
+    private readonly budget: bodyBudget.BodyBudget,
   ) {
     this.result = new Promise(resolve => {
       this.resolve = resolve;
@@ -111,7 +117,10 @@
     controller: undici.Dispatcher.DispatchController,
     status: number,
   ): void {
-    if (status < 200) return;
+    if (status < 200) {
+      this.countInterimHead();
+      return;
+    }
     this.status = status;
     const headers = httpHeaders.pairHeaders(
       controller.rawHeaders as Array<string | Uint8Array>,
@@ -133,6 +142,17 @@
     _controller: undici.Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
+    if (this.settled) return;
+    if (!this.budget.take(chunk.length)) {
+      this.fail(
+        new runtime.ConnectionError(
+          'Unfinished answers hold all memory that is set aside for them. ' +
+            'Send less at once, and check whether a backend server sends ' +
+            'without end.',
+        ),
+      );
+      return;
+    }
     this.bytes += chunk.length;
     if (this.bytes > MAXIMUM_ANSWER_BYTES) {
       this.fail(
@@ -168,7 +188,7 @@
       );
       return;
     }
-    this.settled = true;
+    this.settle();
     // One chunk may be a view of a large read buffer.
     const body =
       this.chunks.length === 1 ? this.chunks[0] : Buffer.concat(this.chunks);
@@ -194,9 +214,26 @@
     );
   }
 
+  private countInterimHead(): void {
+    this.interimHeads++;
+    if (this.interimHeads <= MAXIMUM_INTERIM_HEADS) return;
+    this.fail(
+      new runtime.ProtocolError(
+        `More than ${MAXIMUM_INTERIM_HEADS} interim heads came before the ` +
+          'answer. Check what listens at the address of the backend server.',
+      ),
+    );
+  }
+
+  /** From here on the answer belongs to its reader. */
+  private settle(): void {
+    this.settled = true;
+    this.budget.give(this.bytes);
+  }
+
   private fail(error: Error): void {
     if (this.settled) return;
-    this.settled = true;
+    this.settle();
     this.failure = error;
     this.resolve({kind: this.controller ? 'lost' : 'notSent', error});
     this.controller?.abort(error);
