--- a/packages/host-daemon/src/target-call.ts
+++ b/packages/host-daemon/src/target-call.ts
@@ -44,7 +44,10 @@
       readonly instance?: string;
     };
 
-/** A refusal by this process; `retryAfterMs` 0 leaves the time to others. */
+/**
+ * A call that has not run and never will. `retryAfterMs` is in milliseconds;
+ * with 0 its caller may come back at once.
+ */
 export function refusedCall(
   reason: protocol.RefusalReasonName,
   retryAfterMs = 0,
