--- a/packages/transport/src/test/whole_exchange_test.ts
+++ b/packages/transport/src/test/whole_exchange_test.ts
@@ -1,21 +1,11 @@
 import * as net from 'node:net';
 import test from 'ava';
-import type * as ava from 'ava';
-import * as wholeExchange from '../whole-exchange.js';
+import * as fixture from './whole-exchange-fixture.js';
 
 const BUFFERED_BYTES = 1024 * 1024;
 
 const CHUNK = 'x'.repeat(16 * 1024);
 
-const REQUEST = {
-  method: 'GET',
-  path: '/',
-  headers: [['Host', 'shop.example']],
-  body: null,
-  contentLength: null,
-  maximumIdleMs: 1_000,
-} as const;
-
 interface Flood {
   readonly first: string;
   /** Sent again and again until the connection closes. */
@@ -59,8 +49,13 @@
       socket.on('drain', more);
       socket.once('data', more);
     });
-    const client = await clientOf(t, server, 4);
-    const exchanges = Array.from({length: 4}, () => client.send(REQUEST));
+    const client = await fixture.clientOf(t, server, {
+      maximumConnections: 4,
+      maximumBufferedBytes: BUFFERED_BYTES,
+    });
+    const exchanges = Array.from({length: 4}, () =>
+      client.send(fixture.REQUEST),
+    );
     for (const exchange of exchanges) {
       t.is((await exchange.result).kind, 'lost');
     }
@@ -79,29 +74,11 @@
       ),
     ),
   );
-  const client = await clientOf(t, server, 1);
+  const client = await fixture.clientOf(t, server, {
+    maximumConnections: 1,
+    maximumBufferedBytes: BUFFERED_BYTES,
+  });
   for (let index = 0; index < 6; index++) {
-    t.is((await client.send(REQUEST).result).kind, 'answer');
+    t.is((await client.send(fixture.REQUEST).result).kind, 'answer');
   }
 });
-
-/** A client of a backend server that this starts; both end with the test. */
-async function clientOf(
-  t: ava.ExecutionContext,
-  server: net.Server,
-  maximumConnections: number,
-): Promise<wholeExchange.WholeExchangeClient> {
-  await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
-  const client = new wholeExchange.WholeExchangeClient({
-    address: '127.0.0.1',
-    port: (server.address() as net.AddressInfo).port,
-    nowMs: () => 0,
-    maximumConnections: () => maximumConnections,
-    maximumBufferedBytes: BUFFERED_BYTES,
-  });
-  t.teardown(() => {
-    client.destroy();
-    server.close();
-  });
-  return client;
-}
