Believe a refusal of a backend server only with the id of its request

Callers could see: 'not run, try again' (503) for a request that had run or was running, and a second run of it elsewhere, when a faulty server writes an earlier refusal that names no request, or answers 408, 429 or 503 without its word that the request has not run. The first was taken as proof, the second was passed on with the promise in its status.

Cause: only a differing id was rejected, a missing one was not, and statuses that promise were passed on like failures. Now an answer proves something only with the id of its request, and a promise only with the server's own word; everything else is 'outcome unknown'. The decision is a module of its own (answer-verdict.ts) with a table of cases.

--- a/packages/host-daemon/src/host-daemon.ts
+++ b/packages/host-daemon/src/host-daemon.ts
@@ -87,6 +87,7 @@
       nowMs: () => clock.monotonicMs(),
       maximumConnections: () => this.targetState.slots + SPARE_CONNECTIONS,
     });
+    const decisions = new decisionLog.DecisionLog(logger, metrics, clock);
     const downstream = new admission.DownstreamPressure();
     const entry = new admission.PressureTable();
     this.local = new localTarget.LocalTarget({
@@ -94,6 +95,7 @@
       logger,
       metrics,
       meter: new runtime.EventLoopMeter(),
+      decisions,
       dialect: options.dialect,
       client: this.client,
       state: this.targetState,
@@ -147,7 +149,6 @@
       intervalMs: PEER_HEARTBEAT_MS,
       phaseMs,
     });
-    const decisions = new decisionLog.DecisionLog(logger, metrics, clock);
     const forwarder = new requestForwarder.RequestForwarder({
       clock,
       metrics,
--- a/packages/host-daemon/src/local-target.ts
+++ b/packages/host-daemon/src/local-target.ts
@@ -2,7 +2,9 @@
 import type * as protocol from '@camphorwharf/protocol';
 import type * as runtime from '@camphorwharf/runtime';
 import * as transport from '@camphorwharf/transport';
+import * as answerVerdict from './answer-verdict.js';
 import type * as callDialect from './call-dialect.js';
+import type * as decisionLog from './decision-log.js';
 import * as loadObserver from './load-observer.js';
 import type * as localTargetState from './local-target-state.js';
 import * as reportedLoad from './reported-load.js';
@@ -25,14 +27,12 @@
  */
 const ANSWER_MARGIN_MS = 60;
 
-/** The backend server at this address is another one than was named. */
-const MISDIRECTED = 421;
-
 export interface LocalTargetOptions {
   readonly clock: runtime.Clock;
   readonly logger: runtime.Logger;
   readonly metrics: runtime.Metrics;
   readonly meter: Pick<runtime.EventLoopMeter, 'busyShare'>;
+  readonly decisions: Pick<decisionLog.DecisionLog, 'note'>;
   readonly dialect: callDialect.CallDialect;
   readonly client: transport.WholeExchangeClient;
   readonly state: localTargetState.LocalTargetState;
@@ -51,8 +51,9 @@
   /** Passed by all work that begins in this process. */
   readonly gate: startGate.StartGate;
   private timer: NodeJS.Timeout | null = null;
-  /** Names of answer headers in lower case. */
-  private readonly names;
+  private readonly answers: answerVerdict.AnswerJudge;
+  /** In lower case. */
+  private readonly loadName: string;
 
   constructor(private readonly options: LocalTargetOptions) {
     const {dialect} = options;
@@ -67,12 +68,8 @@
       slots,
       gate: this.gate,
     });
-    this.names = {
-      requestId: dialect.requestIdHeader.toLowerCase(),
-      load: dialect.loadHeader.toLowerCase(),
-      notRun: dialect.notRunHeader.toLowerCase(),
-      proof: dialect.proofHeader.toLowerCase(),
-    };
+    this.answers = new answerVerdict.AnswerJudge(dialect);
+    this.loadName = dialect.loadHeader.toLowerCase();
   }
 
   get load(): protocol.ReportedLoad {
@@ -249,41 +246,42 @@
     call: targetCall.TargetCall,
     result: transport.WholeResult,
   ): targetCall.TargetAnswer {
-    const {dialect, state} = this.options;
-    const {names} = this;
     switch (result.kind) {
       case 'notSent':
         return targetCall.refusedCall('targetUnavailable', 0);
       case 'lost':
         return {kind: 'unknown', reason: 'answerLost'};
-      case 'answer': {
-        const read = (lowerName: string) =>
-          transport.headerValue(result.headers, lowerName);
-        const echoed = read(names.requestId);
-        if (echoed !== null && echoed !== call.requestId) {
-          this.countRejected('otherRequest');
-          return {kind: 'unknown', reason: 'answerLost'};
-        }
-        const load = read(names.load);
-        if (load !== null) state.noteLoad(dialect.parseLoad(load));
-        if (result.status === MISDIRECTED) {
-          state.noteMisdirected(call.instance);
-          return targetCall.refusedCall('targetUnavailable', 0, true);
-        }
-        if (read(names.notRun) !== null) {
-          return targetCall.refusedCall(
-            'overloaded',
-            this.slots.retryAfterMs(),
-            true,
-          );
-        }
-        const isSuccess = result.status < 400;
-        const hasProof = read(names.proof) !== null;
-        if (isSuccess && (!hasProof || read('content-encoding') !== null)) {
-          this.countRejected('unproven');
-          return {kind: 'unknown', reason: 'answerTruncated'};
-        }
-        const {status, headers, body} = result;
+      case 'answer':
+        return this.judgeAnswer(call, result);
+    }
+  }
+
+  private judgeAnswer(
+    call: targetCall.TargetCall,
+    answer: transport.WholeResult & {kind: 'answer'},
+  ): targetCall.TargetAnswer {
+    const {dialect, state} = this.options;
+    const verdict = this.answers.judge(call.requestId, answer);
+    if (verdict.kind === 'rejected') {
+      this.noteRejected(call, answer.status, verdict.cause);
+      const reason =
+        verdict.cause === 'unproven' ? 'answerTruncated' : 'answerLost';
+      return {kind: 'unknown', reason};
+    }
+    const load = transport.headerValue(answer.headers, this.loadName);
+    if (load !== null) state.noteLoad(dialect.parseLoad(load));
+    switch (verdict.kind) {
+      case 'misdirected':
+        state.noteMisdirected(call.instance);
+        return targetCall.refusedCall('targetUnavailable', 0, true);
+      case 'refused':
+        return targetCall.refusedCall(
+          'overloaded',
+          this.slots.retryAfterMs(),
+          true,
+        );
+      case 'complete': {
+        const {status, headers, body} = answer;
         return {kind: 'answer', status, headers, body};
       }
     }
@@ -304,11 +302,21 @@
     );
   }
 
-  private countRejected(cause: string): void {
+  private noteRejected(
+    call: targetCall.TargetCall,
+    status: number,
+    cause: answerVerdict.RejectionCause,
+  ): void {
     this.options.metrics.count(
       'backend_answers_rejected_total',
       'Answers of the backend server that were not passed on, by cause.',
       {cause},
     );
+    this.options.decisions.note('backend-answer-rejected', {
+      requestId: call.requestId,
+      instance: call.instance,
+      status,
+      cause,
+    });
   }
 }
--- /dev/null
+++ b/packages/host-daemon/src/test/answer-verdict_test.ts
@@ -0,0 +1,49 @@
+import test from 'ava';
+import * as answerVerdict from '../answer-verdict.js';
+import * as fixtures from './fleet-fixture.js';
+
+const ID = ['X-Request', 'request-1'] as const;
+const OTHER_ID = ['X-Request', 'request-0'] as const;
+const NOT_RUN = ['X-Not-Run', '1'] as const;
+const PROOF = ['X-Proof', 'proof'] as const;
+
+type Case = readonly [
+  status: number,
+  headers: ReadonlyArray<readonly [string, string]>,
+  expected: answerVerdict.AnswerVerdict['kind'],
+];
+
+/**
+ * Guards against clients that are told 'not run' for requests that have run
+ * or are running, and against second runs of them (REFUSED, TWICE): a faulty
+ * server writes an earlier refusal again on a kept connection, or refuses
+ * without saying that it has not run.
+ */
+const CASES: Readonly<Record<string, Case>> = {
+  'a refusal of this request': [503, [ID, NOT_RUN], 'refused'],
+  'a refusal of an earlier request': [503, [OTHER_ID, NOT_RUN], 'rejected'],
+  'a refusal of no named request': [503, [NOT_RUN], 'rejected'],
+  'another instance': [421, [ID], 'misdirected'],
+  'another instance, for an earlier request': [421, [OTHER_ID], 'rejected'],
+  'another instance, for no named request': [421, [], 'rejected'],
+  '503 without the word that it has not run': [503, [ID, PROOF], 'rejected'],
+  '429 without the word that it has not run': [429, [ID, PROOF], 'rejected'],
+  '408 without the word that it has not run': [408, [ID, PROOF], 'rejected'],
+  'a success': [200, [ID, PROOF], 'complete'],
+  'a success of an earlier request': [200, [OTHER_ID, PROOF], 'rejected'],
+  'a success of no named request': [200, [PROOF], 'rejected'],
+  'a success without proof': [200, [ID], 'rejected'],
+  'an encoded success': [
+    200,
+    [ID, PROOF, ['Content-Encoding', 'gzip']],
+    'rejected',
+  ],
+  'a failure': [500, [ID, PROOF], 'complete'],
+  'a failure without proof': [500, [ID], 'complete'],
+};
+for (const [name, [status, headers, expected]] of Object.entries(CASES)) {
+  test(`what an answer proves: ${name}`, t => {
+    const judge = new answerVerdict.AnswerJudge(fixtures.DIALECT);
+    t.is(judge.judge('request-1', {status, headers}).kind, expected);
+  });
+}
--- a/packages/host-daemon/src/test/local-target_test.ts
+++ b/packages/host-daemon/src/test/local-target_test.ts
@@ -111,6 +111,7 @@
     logger: runtime.silentLogger,
     metrics: new runtime.Metrics(),
     meter: {busyShare: () => 0},
+    decisions: {note: () => undefined},
     dialect: fixtures.DIALECT,
     client,
     state,
