Ask before a waiting call begins whether its backend server is leaving

Cause: LocalTarget asked whether the server takes work when a call arrived, and a call that then waited for a slot began whenever one was free, up to its deadline.

--- a/packages/host-daemon/src/test/local-target_test.ts
+++ b/packages/host-daemon/src/test/local-target_test.ts
@@ -1,13 +1,15 @@
 import * as admission from '@camphorwharf/admission';
 import type * as protocol from '@camphorwharf/protocol';
+import * as routing from '@camphorwharf/routing';
 import * as runtime from '@camphorwharf/runtime';
 import type * as transport from '@camphorwharf/transport';
 import test from 'ava';
 import * as localTarget from '../local-target.js';
 import * as localTargetState from '../local-target-state.js';
-import type * as targetCall from '../target-call.js';
+import * as targetCall from '../target-call.js';
 import * as fixtures from './fleet-fixture.js';
 import * as lateClock from './late-clock.js';
+import * as servers from './sample-servers.js';
 
 const CALL: targetCall.TargetCall = {
   method: 'GET',
@@ -87,11 +89,77 @@
   t.deepEqual(sent, ['/first']);
 });
 
+/**
+ * Guards against requests that reach a backend server after its drain time,
+ * because they waited for a slot meanwhile (DRAIN, issue 16).
+ */
+const DRAIN_MS = 2_000;
+const DEPARTURES: ReadonlyArray<
+  readonly [string, routing.BackendServerPhase | 'unlisted', number, number]
+> = [
+  ['it stays', 'ready', 3_000, 2],
+  ['it has just begun to drain', 'draining', 100, 2],
+  ['it has drained for most of its time', 'draining', 1_000, 1],
+  ['it is no longer listed', 'unlisted', 1_000, 1],
+];
+for (const [name, departure, freeAfterMs, expected] of DEPARTURES) {
+  test(`a slot that becomes free for a waiting call: ${name}`, async t => {
+    const stop = new runtime.CancelSource();
+    const clock = new lateClock.LateClock([0], stop);
+    const state = new localTargetState.LocalTargetState(
+      'parts',
+      '10.0.0.1',
+      80,
+      DRAIN_MS,
+    );
+    const directory = new routing.BackendServerDirectory();
+    directory.put(servers.backendServer('instance-1', {slots: 1}), 0);
+    state.update(directory, 0);
+    let sent = 0;
+    let answerFirst!: () => void;
+    const target = targetOf(
+      clock,
+      null,
+      () => {
+        sent++;
+        const lost = {kind: 'lost', error: new Error('ended')} as const;
+        return new Promise(resolve => {
+          answerFirst ??= () => resolve(lost);
+          if (sent > 1) resolve(lost);
+        });
+      },
+      state,
+    );
+    await target.observer.run(stop);
+    const call = {...CALL, remainingMs: 9_000, objectiveMs: 9_000};
+    const first = target.run(call, new runtime.CancelSource());
+    const second = target.run(call, new runtime.CancelSource());
+    await new Promise(resolve => setImmediate(resolve));
+    if (departure === 'unlisted') directory.remove('instance-1');
+    else {
+      const server = servers.backendServer('instance-1', {
+        slots: 1,
+        phase: departure,
+      });
+      directory.put(server, clock.monotonicMs());
+    }
+    state.update(directory, clock.monotonicMs());
+    await clock.advance(freeAfterMs);
+    answerFirst();
+    await first;
+    const answer = await second;
+    t.is(sent, expected);
+    const leaving = {...targetCall.refusedCall('targetLeaving')};
+    if (expected === 1) t.deepEqual(answer, leaving);
+  });
+}
+
 /** The daemon's part of a backend server that reports this load. */
 function targetOf(
   clock: runtime.Clock,
   load: protocol.ReportedLoad | null,
   send: (request: transport.WholeRequest) => Promise<transport.WholeResult>,
+  state = new localTargetState.LocalTargetState('parts', '10.0.0.1', 80, 0),
 ): localTarget.LocalTarget {
   const client = {
     send: (request: transport.WholeRequest) => ({
@@ -99,12 +167,6 @@
       cancel: () => undefined,
     }),
   } as unknown as transport.WholeExchangeClient;
-  const state = new localTargetState.LocalTargetState(
-    'parts',
-    '10.0.0.1',
-    80,
-    0,
-  );
   state.noteLoad(load);
   return new localTarget.LocalTarget({
     clock,
