Refuse an unknown key or route for good only on recent knowledge

Cause: 401 and 404 were given however old the configuration was, and clients do not come back after them. A host that has not heard of the configuration for two seconds, from the platform or from a peer with the same version, now answers 503 (configurationStale) with Retry-After. Refusals log the age of the configuration. Before: 3 of 5 new cases of caller-path_test.ts gave 401 or 404.

--- a/packages/host-daemon/src/caller-answers.ts
+++ b/packages/host-daemon/src/caller-answers.ts
@@ -182,6 +182,7 @@
       retryAfterMs: Math.round(retryAfterMs),
       ...sheddingFields(subject?.shedding),
       configuration: state.version,
+      configurationAgeMs: Math.round(state.configurationAgeMs(arrivedMs)),
     });
     const status = statusOf(reason);
     const headers: Array<readonly [string, string]> = [
--- a/packages/host-daemon/src/caller-path.ts
+++ b/packages/host-daemon/src/caller-path.ts
@@ -22,6 +22,9 @@
 /** A request that is shed may come back after this part of its objective. */
 const SHED_RETURN_SHARE = 0.3;
 
+/** A lost connection to the platform is replaced within this time. */
+const STALE_RETURN_MS = 500;
+
 export interface CallerPathOptions {
   readonly clock: runtime.Clock;
   readonly random: runtime.RandomSource;
@@ -80,9 +83,7 @@
       this.single(incoming, 'host') ?? '',
       pathOf(incoming.path),
     );
-    if (!route) {
-      return this.answers.refuse(requestId, 'routeUnknown', 0, arrivedMs);
-    }
+    if (!route) return this.refuseFinally(requestId, 'routeUnknown', arrivedMs);
     const authorization = this.single(incoming, this.keyName);
     const key =
       authorization === null
@@ -91,9 +92,9 @@
     const verdict = index.checkKey(route, key);
     switch (verdict.kind) {
       case 'missing':
-        return this.answers.refuse(requestId, 'keyMissing', 0, arrivedMs);
+        return this.refuseFinally(requestId, 'keyMissing', arrivedMs);
       case 'unknown':
-        return this.answers.refuse(requestId, 'keyUnknown', 0, arrivedMs);
+        return this.refuseFinally(requestId, 'keyUnknown', arrivedMs);
       case 'allowed':
         return this.admit(
           incoming,
@@ -200,6 +201,27 @@
     return this.answers.conclude(request, answer, remainingMs);
   }
 
+  /**
+   * Refuses a request that a client does not repeat, unless a change of the
+   * configuration that allows it may have been missed.
+   */
+  private refuseFinally(
+    requestId: string,
+    reason: 'routeUnknown' | 'keyMissing' | 'keyUnknown',
+    arrivedMs: number,
+  ): callerEndpoint.EndpointAnswer {
+    const isFresh = this.options.state.isConfigurationFresh(arrivedMs);
+    return isFresh
+      ? this.answers.refuse(requestId, reason, 0, arrivedMs)
+      : this.answers.refuse(
+          requestId,
+          'configurationStale',
+          0,
+          arrivedMs,
+          STALE_RETURN_MS,
+        );
+  }
+
   /**
    * Returns why to refuse a request that would add to an overload of this
    * process or of a service below its own, before any work is done for it, or
--- a/packages/host-daemon/src/test/caller-path_test.ts
+++ b/packages/host-daemon/src/test/caller-path_test.ts
@@ -11,12 +11,20 @@
 import * as fixtures from './fleet-fixture.js';
 import * as sampleConfiguration from './sample-configuration.js';
 
+interface Overrides {
+  readonly key?: string;
+  readonly path?: string;
+  /** Milliseconds since the platform told of the configuration. */
+  readonly configurationAgeMs?: number;
+}
+
 /** Sends one request along the path of a daemon under these pressures. */
 async function send(
   ownPressure: number,
   pressureBelow: number,
   isLate = false,
   isFirst = false,
+  overrides: Overrides = {},
 ) {
   const clock = new runtime.ManualClock(1_000);
   const random = new runtime.SeededRandom(1);
@@ -35,6 +43,7 @@
     },
     logger: runtime.silentLogger,
     metrics,
+    platformReadsPerSecond: 2_000,
     onConfiguration: () => undefined,
     onServers: () => undefined,
   });
@@ -42,6 +51,10 @@
     JSON.stringify(sampleConfiguration.fleetConfiguration()),
     0,
   );
+  if (overrides.configurationAgeMs !== undefined) {
+    const heardMs = clock.monotonicMs() - overrides.configurationAgeMs;
+    state.contact('configuration', true, heardMs);
+  }
   const entry = new admission.PressureTable();
   entry.learn('parts', pressureBelow, clock.monotonicMs());
   let forwarded = 0;
@@ -76,11 +89,11 @@
   const client = new runtime.CancelSource();
   const answered = path.handle({
     method: 'GET',
-    path: '/parts/7',
+    path: overrides.path ?? '/parts/7',
     rawHeaders: [],
     headers: {
       'host': 'shop.example',
-      'authorization': 'Key key-1',
+      'authorization': overrides.key ?? 'Key key-1',
       'x-request': 'request-1',
       'x-remaining': '3000',
     },
@@ -128,3 +141,29 @@
   t.is(result.forwarded, 0);
   t.is(result.status, undefined);
 });
+
+/**
+ * Guards against a final refusal that rests on an old configuration: clients
+ * do not come back after it, though a change that was confirmed seconds ago
+ * allows the request (CONFIG, issue 16).
+ */
+const FINAL: ReadonlyArray<readonly [string, Overrides, number, string]> = [
+  ['a key, fresh', {key: 'Key other'}, 401, 'keyUnknown'],
+  ['a route, fresh', {path: '/other'}, 404, 'routeUnknown'],
+  ['a key, stale', {key: 'Key other'}, 503, 'configurationStale'],
+  ['no key, stale', {key: ''}, 503, 'configurationStale'],
+  ['a route, stale', {path: '/other'}, 503, 'configurationStale'],
+];
+for (const [name, overrides, status, reason] of FINAL) {
+  test(`a request that the configuration does not allow: ${name}`, async t => {
+    const configurationAgeMs = name.endsWith('fresh') ? 1_000 : 3_000;
+    const result = await send(0, 0, false, false, {
+      ...overrides,
+      configurationAgeMs,
+    });
+    t.is(result.status, status);
+    t.is(result.forwarded, 0);
+    t.is(result.logged.at(-1)?.reason, reason);
+    t.is(result.logged.at(-1)?.configurationAgeMs, configurationAgeMs);
+  });
+}
--- a/packages/protocol/src/outcomes.ts
+++ b/packages/protocol/src/outcomes.ts
@@ -78,6 +78,12 @@
     1,
     'Try again; no configuration has been read yet.',
   ),
+  configurationStale: advise(
+    503,
+    1,
+    'Try again; the platform was not heard for some seconds, and a change may ' +
+      'allow the request.',
+  ),
 } as const satisfies Readonly<Record<string, ReasonAdvice>>;
 export type RefusalReasonName = keyof typeof RefusalReason;
 
