Forget a denial when its instance starts again under its name

The denial now holds for one start. Before: the case of local-target-state_test.ts refused the new start.

--- a/packages/host-daemon/src/local-target-state.ts
+++ b/packages/host-daemon/src/local-target-state.ts
@@ -21,8 +21,12 @@
   private removedSinceMs: number | null = null;
   private drainingSinceMs: number | null = null;
   private knownSlots = INITIAL_SLOTS;
-  /** Instances that the backend server has denied to be. */
-  private readonly denied = new Set<string>();
+  /**
+   * Instances that the backend server has denied to be, and when they had
+   * started; one may start again under its name.
+   */
+  private readonly denied = new Map<string, number | null>();
+  private directory: routing.BackendServerDirectory | null = null;
 
   constructor(
     private readonly service: string,
@@ -41,6 +45,7 @@
 
   /** Takes over what the platform lists for this host. */
   update(directory: routing.BackendServerDirectory, nowMs: number): void {
+    this.directory = directory;
     const server = directory.at(this.address, this.port, this.service);
     if (server) {
       this.knownInstance = server.instance;
@@ -56,7 +61,7 @@
   /** The backend server has said that it is another instance. */
   noteMisdirected(instance: string): void {
     if (this.denied.size >= MAXIMUM_DENIED) this.denied.clear();
-    this.denied.add(instance);
+    this.denied.set(instance, this.startOf(instance));
   }
 
   /**
@@ -64,7 +69,10 @@
    * is refused here, before it costs an exchange.
    */
   mayRun(instance: string): boolean {
-    return !this.denied.has(instance);
+    const deniedStartMs = this.denied.get(instance);
+    return (
+      deniedStartMs === undefined || deniedStartMs !== this.startOf(instance)
+    );
   }
 
   /** Takes over the slots that the backend server itself names. */
@@ -85,6 +93,10 @@
     return sinceMs === null || nowMs - sinceMs < this.drainMs * DRAIN_SHARE;
   }
 
+  private startOf(instance: string): number | null {
+    return this.directory?.get(instance)?.startedAtMs ?? null;
+  }
+
   private get leavingSinceMs(): number | null {
     return this.drainingSinceMs ?? this.removedSinceMs;
   }
