--- a/packages/host-daemon/src/platform-contact.ts
+++ b/packages/host-daemon/src/platform-contact.ts
@@ -1,5 +1,5 @@
 /** What a watch that waits for no change may be late, in milliseconds. */
-const ALLOWANCE_MS = 1_000;
+const ALLOWANCE_MS = 500;
 
 /**
  * Entries that lapsed while the platform was away are back within about two
--- a/packages/host-daemon/src/watch-pace.ts
+++ b/packages/host-daemon/src/watch-pace.ts
@@ -5,10 +5,10 @@
 const IDLE_SHARE = 0.25;
 
 /**
- * A watch that waits for longer proves too late that its connection lives: a
- * change must be in force within two seconds.
+ * A host must know of changes three seconds after its connections have gone
+ * silent, and a call that hangs ends some time after its wait.
  */
-const SHORTEST_WAIT_MS = 1_000;
+const SHORTEST_WAIT_MS = 1_500;
 
 /** The platform lets no watch wait for longer. */
 const LONGEST_WAIT_MS = 30_000;
