--- a/packages/host-daemon/src/fleet-contact.ts
+++ b/packages/host-daemon/src/fleet-contact.ts
@@ -8,7 +8,7 @@
   readonly configurationAgeMs: number;
   /** The same for the list of backend servers. */
   readonly serversAgeMs: number;
-  /** For how long it has heard of the list without a gap. */
+  /** For how long it or its peers have heard of the list without a gap. */
   readonly serversContactMs: number;
 }
 
@@ -22,8 +22,9 @@
 
 /**
  * How recent the knowledge of each published subject is. A process that the
- * platform turns away learns from its peers that their knowledge is recent;
- * it passes on only what it heard itself, so that no word goes in circles.
+ * platform turns away learns from its peers that their knowledge is recent.
+ * The time of the last word that it passes on is of its own, so that no word
+ * seems recent because it goes in circles.
  */
 export class FleetContact {
   private readonly contacts: Readonly<
@@ -61,7 +62,7 @@
     return {
       configurationAgeMs: configuration.own.ageMs(nowMs),
       serversAgeMs: servers.own.ageMs(nowMs),
-      serversContactMs: servers.own.durationMs(nowMs),
+      serversContactMs: servers.fleet.durationMs(nowMs),
     };
   }
 
--- a/packages/host-daemon/src/fleet-state.ts
+++ b/packages/host-daemon/src/fleet-state.ts
@@ -38,10 +38,7 @@
 
   constructor(private readonly options: FleetStateOptions) {
     this.contacts = new fleetContact.FleetContact(
-      {
-        watchWaitMs: () => this.watchWaitMs,
-        renewalMs: options.entryRenewalMs,
-      },
+      {renewalMs: options.entryRenewalMs},
       options.logger,
     );
   }
--- a/packages/host-daemon/src/platform-contact.ts
+++ b/packages/host-daemon/src/platform-contact.ts
@@ -1,5 +1,5 @@
-/** What a watch that waits for no change may be late, in milliseconds. */
-const ALLOWANCE_MS = 500;
+/** A change must be in force after this time, in milliseconds. */
+const FRESH_MS = 2_000;
 
 /**
  * Entries that lapsed while the platform was away are back within about two
@@ -11,8 +11,6 @@
 const INTERVALS_TO_LAPSE = 3;
 
 export interface PlatformContactOptions {
-  /** How long a watch without changes waits, in milliseconds. */
-  readonly watchWaitMs: () => number;
   /** Interval at which backend servers renew their entries, in milliseconds. */
   readonly renewalMs: number;
 }
@@ -57,9 +55,9 @@
     return nowMs - this.heardMs;
   }
 
-  /** Whether what is known cannot be older than a watch makes it. */
+  /** Whether no change that must be in force can have been missed. */
   isFresh(nowMs: number): boolean {
-    return this.ageMs(nowMs) <= this.lifetimeMs;
+    return this.ageMs(nowMs) <= FRESH_MS;
   }
 
   /** Milliseconds of contact without a gap. */
@@ -72,13 +70,8 @@
     return this.durationMs(nowMs) >= SETTLING_MS;
   }
 
-  private get lifetimeMs(): number {
-    return this.options.watchWaitMs() + ALLOWANCE_MS;
-  }
-
   /** An entry that was renewed just before a shorter gap does not lapse in it. */
   private get gapMs(): number {
-    const lapseMs = (INTERVALS_TO_LAPSE - 1) * this.options.renewalMs;
-    return Math.max(this.lifetimeMs, lapseMs);
+    return (INTERVALS_TO_LAPSE - 1) * this.options.renewalMs;
   }
 }
