Serve routes of kinds that are downloads or not known

Cause: a route of the new kind download made each daemon reject the whole configuration, so a fleet served nothing and logged a warning only. A kind that is not known counts as one that must not run twice, with a warning and the gauge configuration_unrecognised_routes. A configuration that cannot be decoded is logged as an error and sets the gauge configuration_rejected.

--- a/packages/host-daemon/src/fleet-state.ts
+++ b/packages/host-daemon/src/fleet-state.ts
@@ -2,6 +2,7 @@
 import type * as runtime from '@camphorwharf/runtime';
 import * as freshnessTracker from './freshness-tracker.js';
 import type * as publishedState from './published-state.js';
+import * as stateReports from './state-reports.js';
 import * as versionedItems from './versioned-items.js';
 import * as watchTimeout from './watch-timeout.js';
 
@@ -22,9 +23,6 @@
   readonly onServers: (nowMs: number) => void;
 }
 
-/** Where this process received a change from. */
-type ChangeSource = 'platform' | 'peer';
-
 /**
  * The current configuration and backend servers, received from the platform or
  * from peers. Neither reverts to an older state within the lifetime of the
@@ -36,8 +34,10 @@
   private configurationText: string | null = null;
   private readonly items = new versionedItems.VersionedItems();
   private readonly freshness: freshnessTracker.FreshnessTracker;
+  private readonly reports: stateReports.StateReports;
 
   constructor(private readonly options: FleetStateOptions) {
+    this.reports = new stateReports.StateReports(options);
     this.freshness = new freshnessTracker.FreshnessTracker(
       {renewalMs: options.entryRenewalMs},
       options.logger,
@@ -168,7 +168,7 @@
 
   private applyConfiguration(
     text: string,
-    source: ChangeSource,
+    source: stateReports.ChangeSource,
     nowMs: number,
   ): void {
     if (text === this.configurationText) return;
@@ -176,31 +176,20 @@
     try {
       configuration = this.options.decoder.configuration(text);
     } catch (error) {
-      this.recordRejection('configuration', error);
+      this.reports.rejectedConfiguration(error);
       return;
     }
     if (configuration.version <= this.version) return;
     const previous = this.version;
     this.currentIndex = new routing.ConfigurationIndex(configuration);
     this.configurationText = text;
-    this.options.logger.info('configuration-in-force', {
-      version: configuration.version,
-      previous,
-      source,
-      routes: configuration.routes.length,
-      organisations: configuration.organisations.length,
-    });
-    this.options.metrics.gauge(
-      'configuration_version',
-      'Version of the configuration in force.',
-      configuration.version,
-    );
+    this.reports.inForce(configuration, previous, source);
     this.options.onConfiguration(configuration, nowMs);
   }
 
   private applyChanges(
     changes: readonly publishedState.ItemChange[],
-    source: ChangeSource,
+    source: stateReports.ChangeSource,
     nowMs: number,
   ): void {
     if (changes.length === 0) return;
@@ -210,7 +199,7 @@
 
   private applyChange(
     change: publishedState.ItemChange,
-    source: ChangeSource,
+    source: stateReports.ChangeSource,
     nowMs: number,
   ): void {
     const {key, revision, text} = change;
@@ -260,7 +249,7 @@
     try {
       return this.options.decoder.backendServer(instance, text);
     } catch (error) {
-      this.recordRejection('backendServer', error);
+      this.reports.rejectedItem('backendServer', error);
       return null;
     }
   }
@@ -269,7 +258,7 @@
     change: 'added' | 'changed' | 'missing' | 'removed',
     server: routing.BackendServer,
     revision: number,
-    source: ChangeSource,
+    source: stateReports.ChangeSource,
   ): void {
     const {instance, service, hostAddress, phase} = server;
     this.options.logger.info(`backend-server-${change}`, {
@@ -281,19 +270,4 @@
       source,
     });
   }
-
-  private recordRejection(
-    subject: 'configuration' | 'backendServer',
-    error: unknown,
-  ): void {
-    this.options.metrics.count(
-      'published_items_rejected_total',
-      'Items of the platform that could not be used, by subject.',
-      {subject},
-    );
-    this.options.logger.warn('published-item-rejected', {
-      subject,
-      error: error instanceof Error ? error.message : String(error),
-    });
-  }
 }
--- a/packages/host-daemon/src/test/sample-configuration.ts
+++ b/packages/host-daemon/src/test/sample-configuration.ts
@@ -14,6 +14,7 @@
         host: 'shop.example',
         prefix: '/parts/',
         idempotent: true,
+        unrecognisedKind: null,
         timeoutMs: 3_000,
         objectiveMs: 1_000,
         priority: 1,
--- a/packages/routing/src/fleet-configuration.ts
+++ b/packages/routing/src/fleet-configuration.ts
@@ -11,8 +11,16 @@
   readonly host: string;
   /** Starts and ends with a slash. */
   readonly prefix: string;
-  /** Whether a request may be executed more than once. */
+  /**
+   * Whether a request may be executed more than once. False if the published
+   * kind of request is not recognised.
+   */
   readonly idempotent: boolean;
+  /**
+   * The published kind of request if this version of the daemon does not know
+   * it; null for a known one.
+   */
+  readonly unrecognisedKind: string | null;
   /** Request timeout, in milliseconds. */
   readonly timeoutMs: number;
   /**
--- a/packages/routing/src/test/configuration-index_test.ts
+++ b/packages/routing/src/test/configuration-index_test.ts
@@ -7,6 +7,7 @@
   host: 'shop.example',
   prefix: '/parts/',
   idempotent: true,
+  unrecognisedKind: null,
   timeoutMs: 1_000,
   objectiveMs: 500,
   priority: 1,
