Answer pipelined requests in order, and begin nothing late in a stop

Cause: requests in a row on one connection were begun without a bound, the end of the connection cancelled only one of them, malformed input after them cut off the running ones, and a stop closed the connection after the first response although later requests were running. An upload whose body arrived late in a stop, and a call of a peer that had not heard of the stop, were run and cut off at its end. Change: CallerConnection owns the requests of one connection: at most eight are processed at a time, responses are written in the order of arrival, and the last one closes the connection. A request that may run only once waits until the earlier ones are answered.

--- /dev/null
+++ b/packages/host-daemon/src/caller-connection.ts
@@ -0,0 +1,184 @@
+import type * as http from 'node:http';
+import type * as net from 'node:net';
+import * as runtime from '@camphorwharf/runtime';
+
+/**
+ * Maximum number of requests of one connection that are processed at the same
+ * time, so that one connection cannot occupy a host. Further ones wait.
+ */
+const MAXIMUM_CONCURRENT_REQUESTS = 8;
+
+/**
+ * Reading pauses while more requests are unanswered. A disconnect is not
+ * noticed while reading is paused.
+ */
+const MAXIMUM_UNANSWERED_REQUESTS = 32;
+
+/** One request on a connection, from its arrival to the end of its response. */
+export interface Exchange {
+  readonly request: http.IncomingMessage;
+  readonly response: http.ServerResponse;
+  readonly isFirstOnConnection: boolean;
+  /** Aborted when the client disconnects before the response is complete. */
+  readonly cancel: runtime.CancelSource;
+}
+
+interface Waiter {
+  readonly exchange: Exchange;
+  readonly isReady: (position: number) => boolean;
+  readonly resolve: () => void;
+}
+
+/**
+ * The requests of one client connection. A client may send further requests
+ * before the first one has been answered (pipelining, RFC 9112 section 9.3.2);
+ * they are processed concurrently, within a limit, and answered in the order of
+ * their arrival.
+ */
+export class CallerConnection {
+  /** Requests without a complete response, in the order of their arrival. */
+  private readonly unanswered: Exchange[] = [];
+  private waiters: Waiter[] = [];
+  private requestCount = 0;
+  private isClosing = false;
+  private isPaused = false;
+
+  constructor(private readonly socket: net.Socket) {
+    // The response closes a few event loop iterations after the end of its
+    // connection. If the event loop is delayed, the request would be forwarded
+    // in the meantime.
+    socket.on('end', () => this.cancelAll());
+    socket.on('close', () => this.cancelAll());
+  }
+
+  /** Number of requests without a complete response. */
+  get size(): number {
+    return this.unanswered.length;
+  }
+
+  /** Whether no request that is read from now on is processed. */
+  get closing(): boolean {
+    return this.isClosing;
+  }
+
+  /**
+   * Adds a request that has arrived. Returns null if it must not be processed
+   * because the connection closes after an earlier response; the client then
+   * treats it as not read.
+   */
+  add(
+    request: http.IncomingMessage,
+    response: http.ServerResponse,
+  ): Exchange | null {
+    if (this.isClosing) return null;
+    const exchange: Exchange = {
+      request,
+      response,
+      isFirstOnConnection: this.requestCount === 0,
+      cancel: new runtime.CancelSource(),
+    };
+    this.requestCount++;
+    this.unanswered.push(exchange);
+    response.on('finish', () => this.complete(exchange));
+    this.limitReading();
+    return exchange;
+  }
+
+  /** Resolves when the request may be processed, or is cancelled. */
+  untilStartable(exchange: Exchange): Promise<void> | null {
+    return this.waitForPosition(
+      exchange,
+      position => position < MAXIMUM_CONCURRENT_REQUESTS,
+    );
+  }
+
+  /**
+   * Resolves when all earlier requests have been answered, or the request is
+   * cancelled. Returns null if there are none.
+   */
+  untilFirst(exchange: Exchange): Promise<void> | null {
+    return this.waitForPosition(exchange, position => position === 0);
+  }
+
+  /** Whether no later request has been read from the connection. */
+  isLast(exchange: Exchange): boolean {
+    return this.unanswered.at(-1) === exchange;
+  }
+
+  /**
+   * Ignores all requests that are read from now on, and closes the connection
+   * once all earlier ones have been answered.
+   */
+  closeAfterLast(): void {
+    this.isClosing = true;
+    // Node.js closes the connection itself after `Connection: close`; this
+    // covers a last response that has been written without it.
+    if (this.size === 0) this.socket.destroySoon();
+  }
+
+  /**
+   * Handles input that is not HTTP. Returns whether earlier requests are still
+   * to be answered before the connection closes.
+   */
+  handleMalformedInput(): boolean {
+    const last = this.unanswered.at(-1);
+    // The malformed input belongs to the body of the last request.
+    if (last && !last.request.complete) {
+      last.cancel.abort();
+      this.remove(last);
+    }
+    this.isClosing = true;
+    return this.size > 0;
+  }
+
+  private waitForPosition(
+    exchange: Exchange,
+    isReady: Waiter['isReady'],
+  ): Promise<void> | null {
+    if (exchange.cancel.aborted) return null;
+    if (isReady(this.unanswered.indexOf(exchange))) return null;
+    return new Promise(resolve => {
+      this.waiters.push({exchange, isReady, resolve});
+    });
+  }
+
+  private complete(exchange: Exchange): void {
+    this.remove(exchange);
+    if (this.isClosing && this.size === 0) this.socket.destroySoon();
+    else this.limitReading();
+  }
+
+  /** Node.js pauses reading for other reasons too, so only changes count. */
+  private limitReading(): void {
+    const pause = this.size > MAXIMUM_UNANSWERED_REQUESTS;
+    if (pause === this.isPaused) return;
+    this.isPaused = pause;
+    if (pause) this.socket.pause();
+    else this.socket.resume();
+  }
+
+  private remove(exchange: Exchange): void {
+    const position = this.unanswered.indexOf(exchange);
+    if (position < 0) return;
+    this.unanswered.splice(position, 1);
+    this.wakeWaiters();
+  }
+
+  private wakeWaiters(): void {
+    if (this.waiters.length === 0) return;
+    const ready = this.waiters.filter(
+      ({exchange, isReady}) =>
+        exchange.cancel.aborted || isReady(this.unanswered.indexOf(exchange)),
+    );
+    if (ready.length === 0) return;
+    this.waiters = this.waiters.filter(waiter => !ready.includes(waiter));
+    for (const {resolve} of ready) resolve();
+  }
+
+  private cancelAll(): void {
+    const cancelled = this.unanswered.splice(0);
+    this.isClosing = true;
+    for (const {cancel} of cancelled) cancel.abort();
+    this.wakeWaiters();
+  }
+}
--- a/packages/host-daemon/src/caller-http-server.ts
+++ b/packages/host-daemon/src/caller-http-server.ts
@@ -2,10 +2,9 @@
 import type * as net from 'node:net';
 import type * as protocol from '@camphorwharf/protocol';
 import type * as routing from '@camphorwharf/routing';
-import * as runtime from '@camphorwharf/runtime';
-
-/** Bodies up to this size are buffered so that they can be sent again. */
-const MAXIMUM_BUFFERED_BYTES = 1024 * 1024;
+import type * as runtime from '@camphorwharf/runtime';
+import * as callerConnection from './caller-connection.js';
+import * as requestBody from './request-body.js';
 
 /**
  * Limit of the HTTP parser; the configured limit is checked on the parsed
@@ -22,8 +21,6 @@
 /** Bodies up to this size are copied and written together with the header. */
 const MAXIMUM_COALESCED_BODY_BYTES = 16 * 1024;
 
-export type RequestBody = Uint8Array | AsyncIterable<Uint8Array> | null;
-
 /** A request from a client or from the local backend server. */
 export interface IncomingRequest {
   readonly method: string;
@@ -37,13 +34,21 @@
    * and the client may have disconnected in the meantime.
    */
   readonly isFirstOnConnection: boolean;
+  /** Monotonic time at which the request was read, in milliseconds. */
+  readonly arrivedMs: number;
   /** Aborted when the client disconnects before the response is complete. */
   readonly signal: runtime.CancelSignal;
+  /**
+   * Resolves when all earlier requests of the connection have been answered, or
+   * the request is cancelled. If an earlier response closes the connection, the
+   * client repeats this request, whatever its kind.
+   */
+  untilEarlierAnswered(): Promise<void>;
   /**
    * Reads the body into a buffer, or as a stream if it exceeds the buffering
    * limit. Throws if the client aborts the request.
    */
-  readBody(): Promise<RequestBody>;
+  readBody(): Promise<requestBody.RequestBody>;
 }
 
 export interface CallerResponse {
@@ -53,6 +58,7 @@
 }
 
 export interface CallerHttpServerOptions {
+  readonly clock: Pick<runtime.Clock, 'monotonicMs'>;
   readonly logger: runtime.Logger;
   readonly metrics: runtime.Metrics;
   /** Returns null to reset the connection without a response. */
@@ -68,13 +74,9 @@
  */
 export class CallerHttpServer {
   private readonly server: http.Server;
-  /** Connections that have sent at least one request. */
-  private readonly seenConnections = new WeakSet<net.Socket>();
-  private runningRequestCount = 0;
-  /** Connections that have a request without a complete response. */
-  private readonly cancelSources = new WeakMap<
+  private readonly connections = new Map<
     net.Socket,
-    runtime.CancelSource
+    callerConnection.CallerConnection
   >();
   private draining = false;
   private maximumHeaderBytes = MAXIMUM_PARSED_HEADER_BYTES;
@@ -91,12 +93,13 @@
       },
       (request, response) => void this.handleRequest(request, response),
     );
-    // The response closes a few event loop iterations after the end of its
-    // connection. If the event loop is delayed, the request would be forwarded
-    // in the meantime.
-    this.server.on('connection', (socket: net.Socket) =>
-      socket.on('end', () => this.cancelSources.get(socket)?.abort()),
-    );
+    this.server.on('connection', (socket: net.Socket) => {
+      this.connections.set(
+        socket,
+        new callerConnection.CallerConnection(socket),
+      );
+      socket.on('close', () => this.connections.delete(socket));
+    });
     this.server.on('clientError', (error, socket) =>
       this.handleClientError(error, socket as net.Socket),
     );
@@ -104,7 +107,11 @@
 
   /** Number of requests without a complete response. */
   get runningCount(): number {
-    return this.runningRequestCount;
+    let count = 0;
+    for (const connection of this.connections.values()) {
+      count += connection.size;
+    }
+    return count;
   }
 
   listen(port: number, address: string): Promise<void> {
@@ -143,57 +150,72 @@
     request: http.IncomingMessage,
     response: http.ServerResponse,
   ): Promise<void> {
-    this.runningRequestCount++;
-    const isFirstOnConnection = !this.seenConnections.has(request.socket);
-    if (isFirstOnConnection) this.seenConnections.add(request.socket);
-    const cancel = new runtime.CancelSource();
-    this.cancelSources.set(request.socket, cancel);
-    let finished = false;
-    response.on('close', () => {
-      this.runningRequestCount--;
-      this.cancelSources.delete(request.socket);
-      if (!finished) cancel.abort();
-    });
-    response.on('finish', () => {
-      finished = true;
-    });
-    let reply: CallerResponse | null;
+    const arrivedMs = this.options.clock.monotonicMs();
+    const connection = this.connections.get(request.socket);
+    if (!connection) return;
+    // The client repeats a request that was sent behind a response that closes
+    // the connection, so it is not begun here.
+    if (this.draining && connection.size > 0) connection.closeAfterLast();
+    const exchange = connection.add(request, response);
+    if (!exchange) return;
+    await connection.untilStartable(exchange);
+    if (exchange.cancel.aborted) return;
+    const reply = await this.reply(connection, exchange, arrivedMs);
+    await connection.untilFirst(exchange);
+    if (exchange.cancel.aborted) return;
+    if (reply) this.sendResponse(connection, exchange, reply);
+    else request.socket.resetAndDestroy();
+  }
+
+  /** Returns null to reset the connection. */
+  private async reply(
+    connection: callerConnection.CallerConnection,
+    exchange: callerConnection.Exchange,
+    arrivedMs: number,
+  ): Promise<CallerResponse | null> {
+    const {request, isFirstOnConnection, cancel} = exchange;
+    if (headerSize(request.rawHeaders) > this.maximumHeaderBytes) {
+      return adviceResponse(431, 'Send fewer or shorter headers.');
+    }
     try {
-      reply =
-        headerSize(request.rawHeaders) > this.maximumHeaderBytes
-          ? adviceResponse(431, 'Send fewer or shorter headers.')
-          : await this.options.handler({
-              method: request.method ?? 'GET',
-              path: request.url ?? '/',
-              rawHeaders: request.rawHeaders,
-              headers: request.headers,
-              isFirstOnConnection,
-              signal: cancel,
-              readBody: () => readBody(request),
-            });
+      return await this.options.handler({
+        method: request.method ?? 'GET',
+        path: request.url ?? '/',
+        rawHeaders: request.rawHeaders,
+        headers: request.headers,
+        isFirstOnConnection,
+        arrivedMs,
+        signal: cancel,
+        untilEarlierAnswered: async () => {
+          await connection.untilFirst(exchange);
+        },
+        readBody: () => requestBody.readBody(request),
+      });
     } catch (error) {
       this.options.logger.error('caller-request-failed', {
         error: error instanceof Error ? error.message : String(error),
       });
-      reply = null;
+      return null;
     }
-    if (cancel.aborted) return;
-    if (reply) this.sendResponse(request, response, reply);
-    else request.socket.resetAndDestroy();
   }
 
   private sendResponse(
-    request: http.IncomingMessage,
-    response: http.ServerResponse,
+    connection: callerConnection.CallerConnection,
+    exchange: callerConnection.Exchange,
     reply: CallerResponse,
   ): void {
+    const {request, response} = exchange;
     const headers: string[] = [];
     for (const [name, value] of reply.headers) headers.push(name, value);
     if (reply.status !== 204 && reply.status !== 304) {
       headers.push('Content-Length', String(reply.body.length));
     }
     // The rest of an unread body would be parsed as the next request.
-    if (this.draining || !request.complete) headers.push('Connection', 'close');
+    const mustClose = this.draining || connection.closing || !request.complete;
+    if (mustClose && connection.isLast(exchange)) {
+      headers.push('Connection', 'close');
+      connection.closeAfterLast();
+    }
     response.sendDate = false;
     response.writeHead(reply.status, headers);
     const {body} = reply;
@@ -207,6 +229,9 @@
 
   private handleClientError(error: Error, socket: net.Socket): void {
     const {code} = error as NodeJS.ErrnoException;
+    const connection = this.connections.get(socket);
+    // The parser fails again on each further input.
+    if (connection?.closing) return;
     if (code === 'ECONNRESET' || !socket.writable) {
       socket.destroy();
       return;
@@ -222,8 +247,10 @@
         : code === 'ERR_HTTP_REQUEST_TIMEOUT'
           ? 408
           : 400;
-    // A response here would be taken for that of a request still in progress.
-    if (this.cancelSources.has(socket)) {
+    const hadRequests = (connection?.size ?? 0) > 0;
+    if (connection?.handleMalformedInput()) return;
+    // A response here would be taken for that of the request that was cut off.
+    if (hadRequests) {
       socket.resetAndDestroy();
       return;
     }
@@ -247,38 +274,6 @@
   };
 }
 
-async function readBody(request: http.IncomingMessage): Promise<RequestBody> {
-  const declared = request.headers['content-length'];
-  if (
-    declared === undefined &&
-    request.headers['transfer-encoding'] === undefined
-  ) {
-    return null;
-  }
-  const iterator = request.iterator({destroyOnReturn: false});
-  const chunks: Buffer[] = [];
-  if (Number(declared ?? 0) > MAXIMUM_BUFFERED_BYTES) {
-    return streamBody(chunks, iterator);
-  }
-  let bytes = 0;
-  for (;;) {
-    const item = await iterator.next();
-    if (item.done) break;
-    chunks.push(item.value as Buffer);
-    bytes += (item.value as Buffer).length;
-    if (bytes > MAXIMUM_BUFFERED_BYTES) return streamBody(chunks, iterator);
-  }
-  return chunks.length === 1 ? chunks[0] : Buffer.concat(chunks);
-}
-
-async function* streamBody(
-  buffered: readonly Buffer[],
-  remaining: AsyncIterableIterator<unknown>,
-): AsyncGenerator<Uint8Array, void, void> {
-  yield* buffered;
-  for await (const chunk of remaining) yield chunk as Uint8Array;
-}
-
 function toBuffer(bytes: Uint8Array): Buffer {
   return Buffer.isBuffer(bytes)
     ? bytes
--- a/packages/host-daemon/src/host-daemon.ts
+++ b/packages/host-daemon/src/host-daemon.ts
@@ -16,6 +16,7 @@
 import * as peerConnections from './peer-connections.js';
 import * as peerRequestHandler from './peer-request-handler.js';
 import * as periodicChecks from './periodic-checks.js';
+import * as stopSchedule from './stop-schedule.js';
 import * as statusServer from './status-server.js';
 import * as requestForwarder from './request-forwarder.js';
 import * as targetClient from './target-client.js';
@@ -31,14 +32,8 @@
 /** Connections to the backend server beyond its number of slots. */
 const EXTRA_CONNECTIONS = 8;
 
-/**
- * When a stop begins, responses ask clients to close their connections. After
- * this time all clients have done so; until then, new requests are accepted.
- */
-const STOP_GRACE_MS = 2_600;
-
-/** Part of the stop time limit that is reserved for closing connections. */
-const CLOSE_RESERVE_MS = 700;
+/** Interval at which a stop checks whether all requests are answered. */
+const STOP_CHECK_INTERVAL_MS = 20;
 
 /** The daemon of one host: wiring, readiness and graceful shutdown. */
 export class HostDaemon {
@@ -55,14 +50,14 @@
   private readonly reporter: peerReporter.PeerReporter;
   private readonly server: callerHttpServer.CallerHttpServer;
   private readonly statusServers: http.Server[] = [];
-  private stopping = false;
-  private rejectsRequests = false;
+  private readonly stopSchedule: stopSchedule.StopSchedule;
 
   constructor(private readonly options: hostDaemonOptions.HostDaemonOptions) {
     const {clock, logger, metrics, random, settings} = options;
     const nowMs = clock.monotonicMs();
     const incarnation = runtime.randomIdentifier(random);
     const ownAddress = settings.callers.address;
+    this.stopSchedule = new stopSchedule.StopSchedule(settings.stopLimitMs);
     this.members = new fleetLimits.FleetMembers(ownAddress);
     this.limits = new fleetLimits.FleetRateLimits(this.members, nowMs);
     this.loadBalancer = new routing.TargetBalancer(
@@ -125,6 +120,7 @@
         service: settings.service,
         incarnation,
         local,
+        stopSchedule: this.stopSchedule,
         startedCalls: new ownership.CallRegister(),
         reporter: () => this.reporter,
       }),
@@ -186,9 +182,10 @@
       monitor: local.monitor,
       scheduler: local.scheduler,
       forwarder,
-      rejectsRequests: () => this.rejectsRequests,
+      stopSchedule: this.stopSchedule,
     });
     this.server = new callerHttpServer.CallerHttpServer({
+      clock,
       logger,
       metrics,
       handler: request => handler.handle(request),
@@ -201,27 +198,12 @@
     const {signal} = this.shutdown;
     await this.listener.listen(settings.peers.port, settings.peers.address);
     await this.server.listen(settings.callers.port, settings.callers.address);
-    this.statusServers.push(
-      await statusServer.serveResources(
-        {
-          [settings.readinessPath]: () =>
-            statusServer.readinessResponse(this.isReady),
-        },
-        settings.readiness.port,
-        settings.readiness.address,
-      ),
-      await statusServer.serveResources(
-        {
-          [settings.metricsPath]: async () => ({
-            status: 200,
-            type: 'text/plain; version=0.0.4; charset=utf-8',
-            text: await metrics.exposition(),
-          }),
-        },
-        settings.metrics.port,
-        settings.metrics.address,
-      ),
+    const servers = await statusServer.startStatusServers(
+      settings,
+      () => this.isReady,
+      metrics,
     );
+    this.statusServers.push(...servers);
     const tasks = {
       platform: reader.run(this.state, signal),
       reports: this.reporter.run(signal),
@@ -243,8 +225,13 @@
     logger.info('daemon-started', {hostId, service, availabilityZone});
   }
 
+  /** Number of requests of clients without a complete response. */
+  get runningRequests(): number {
+    return this.server.runningCount;
+  }
+
   get isReady(): boolean {
-    return !this.stopping && this.state.index !== null;
+    return !this.stopSchedule.stopping && this.state.index !== null;
   }
 
   /**
@@ -258,24 +245,23 @@
 
   /** Shuts down gracefully. Resolves when the process may exit. */
   async stop(): Promise<void> {
-    if (this.stopping) return;
-    this.stopping = true;
-    const {clock, logger, settings} = this.options;
+    if (this.stopSchedule.stopping) return;
+    const {clock, logger} = this.options;
     const startedMs = clock.monotonicMs();
-    const endMs = startedMs + settings.stopLimitMs - CLOSE_RESERVE_MS;
+    this.stopSchedule.begin(startedMs);
+    const {endMs, refuseFromMs} = this.stopSchedule;
     logger.info('daemon-stopping', {running: this.server.runningCount});
     this.server.startDraining();
     this.reporter.announceLeaving();
-    await clock.delay(Math.min(STOP_GRACE_MS, endMs - clock.monotonicMs()));
-    this.rejectsRequests = true;
-    const peersIdle = this.listener.closeWhenIdle();
-    while (this.server.runningCount > 0 && clock.monotonicMs() < endMs) {
-      await clock.delay(20);
+    await clock.delay(refuseFromMs - clock.monotonicMs());
+    let arePeersIdle = false;
+    void this.listener.closeWhenIdle().then(() => (arePeersIdle = true));
+    while (
+      (this.server.runningCount > 0 || !arePeersIdle) &&
+      clock.monotonicMs() < endMs
+    ) {
+      await clock.delay(STOP_CHECK_INTERVAL_MS);
     }
-    await Promise.race([
-      peersIdle,
-      clock.delay(Math.max(0, endMs - clock.monotonicMs())),
-    ]);
     logger.info('daemon-stopped', {
       cut: this.server.runningCount,
       afterMs: Math.round(clock.monotonicMs() - startedMs),
--- a/packages/host-daemon/src/peer-request-handler.ts
+++ b/packages/host-daemon/src/peer-request-handler.ts
@@ -5,6 +5,7 @@
 import type * as peerReporter from './peer-reporter.js';
 import type * as localTarget from './local-target.js';
 import * as requestPriority from './request-priority.js';
+import type * as stopSchedule from './stop-schedule.js';
 import type * as targetCall from './target-call.js';
 
 /**
@@ -22,6 +23,7 @@
   readonly service: string;
   readonly incarnation: string;
   readonly local: localTarget.LocalTarget;
+  readonly stopSchedule: stopSchedule.StopSchedule;
   readonly startedCalls: ownership.StartedCalls;
   readonly reporter: () => peerReporter.PeerReporter;
 }
@@ -45,6 +47,11 @@
       return;
     }
     const nowMs = clock.monotonicMs();
+    // A peer may not know of the stop yet.
+    if (!this.options.stopSchedule.mayBegin(head.nested ?? false, nowMs)) {
+      this.refuse(call, 'targetLeaving', 0);
+      return;
+    }
     const {context} = head;
     const {requestId, remainingMs, organisation, idempotent} = context;
     const verdict = startedCalls.start(
--- a/packages/host-daemon/src/request-handler.ts
+++ b/packages/host-daemon/src/request-handler.ts
@@ -7,12 +7,14 @@
 import type * as httpBinding from './http-binding.js';
 import * as responseBuilder from './response-builder.js';
 import * as callerHttpServer from './caller-http-server.js';
+import type * as requestBody from './request-body.js';
 import type * as routedRequest from './routed-request.js';
 import type * as requestLogger from './request-logger.js';
 import type * as fleetState from './fleet-state.js';
 import type * as loadMonitor from './load-monitor.js';
 import type * as requestForwarder from './request-forwarder.js';
 import * as requestPriority from './request-priority.js';
+import type * as stopSchedule from './stop-schedule.js';
 import type * as workScheduler from './work-scheduler.js';
 import * as targetCall from './target-call.js';
 
@@ -48,8 +50,7 @@
   readonly monitor: Pick<loadMonitor.LoadMonitor, 'processPressure'>;
   readonly scheduler: workScheduler.WorkScheduler;
   readonly forwarder: requestForwarder.RequestForwarder;
-  /** Whether the shutdown leaves too little time to complete a new request. */
-  readonly rejectsRequests: () => boolean;
+  readonly stopSchedule: stopSchedule.StopSchedule;
 }
 
 /**
@@ -84,12 +85,9 @@
   async handle(
     incoming: callerHttpServer.IncomingRequest,
   ): Promise<callerHttpServer.CallerResponse | null> {
-    const arrivedMs = this.options.clock.monotonicMs();
+    const {arrivedMs} = incoming;
     const requestId = this.singleHeader(incoming, this.requestIdHeader) ?? '';
     const {index} = this.options.state;
-    if (this.options.rejectsRequests()) {
-      return this.responses.refuse(requestId, 'targetLeaving', 0, arrivedMs);
-    }
     if (!index) {
       return this.responses.refuse(requestId, 'documentMissing', 0, arrivedMs);
     }
@@ -131,10 +129,15 @@
     withoutKey: boolean,
     arrivedMs: number,
   ): Promise<callerHttpServer.CallerResponse | null> {
-    const {clock, limits} = this.options;
+    const {clock, limits, stopSchedule} = this.options;
+    const nested = withoutKey && route.isPublic;
+    if (!stopSchedule.mayBegin(nested, clock.monotonicMs())) {
+      return this.responses.refuse(requestId, 'targetLeaving', 0, arrivedMs);
+    }
     const remainingMs = Math.min(
       this.clientTimeoutMs(incoming),
       route.timeoutMs,
+      stopSchedule.remainingMs(arrivedMs),
     );
     const service = index.nextService(route);
     if (service === null) {
@@ -145,7 +148,6 @@
         arrivedMs,
       );
     }
-    const nested = withoutKey && route.isPublic;
     const priority = requestPriority.requestPriority(organisation, route);
     const shedding = nested ? null : this.decideShedding(service, priority);
     if (shedding) {
@@ -176,13 +178,14 @@
       if (organisation) limits.refund(organisation.name);
       return callerHttpServer.adviceResponse(413, 'Send a shorter body.');
     }
-    let body: callerHttpServer.RequestBody;
+    let body: requestBody.RequestBody;
     try {
       body = await incoming.readBody();
     } catch {
       if (organisation) limits.refund(organisation.name);
       return null; // The client aborted its request.
     }
+    if (!route.idempotent) await incoming.untilEarlierAnswered();
     const deadlineMs = arrivedMs + remainingMs;
     const scheduling = await this.options.scheduler.schedule(
       'entry',
@@ -210,16 +213,30 @@
       arrivedMs,
       signal: incoming.signal,
     };
-    const result =
-      scheduling === 'start'
-        ? await this.options.forwarder.forward(request)
-        : targetCall.refusedResult(scheduling);
+    const result = await this.forward(request, scheduling);
     if (result.kind === 'refused' && organisation) {
       limits.refund(organisation.name);
     }
     return this.responses.build(request, result, remainingMs);
   }
 
+  /**
+   * Forwards the request if it may still begin. Its body may have arrived long
+   * after its head.
+   */
+  private forward(
+    request: routedRequest.RoutedRequest,
+    scheduling: workScheduler.ScheduleOutcome,
+  ): Promise<targetCall.CallResult> {
+    const {clock, forwarder, stopSchedule} = this.options;
+    if (scheduling !== 'start') {
+      return Promise.resolve(targetCall.refusedResult(scheduling));
+    }
+    return stopSchedule.mayBegin(request.nested, clock.monotonicMs())
+      ? forwarder.forward(request)
+      : Promise.resolve(targetCall.refusedResult('targetLeaving'));
+  }
+
   /**
    * Refuses a request for a reason after which clients do not retry. If a
    * configuration change that allows the request may have been missed, refuses
--- a/packages/host-daemon/src/status-server.ts
+++ b/packages/host-daemon/src/status-server.ts
@@ -1,4 +1,6 @@
 import * as http from 'node:http';
+import type * as runtime from '@camphorwharf/runtime';
+import type * as hostDaemonOptions from './host-daemon-options.js';
 
 /** A plain text response. */
 export interface TextResponse {
@@ -45,3 +47,32 @@
     ? {status: 200, type: 'text/plain', text: 'ready\n'}
     : {status: 503, type: 'text/plain', text: 'not ready\n'};
 }
+
+/** Starts the servers of readiness and of metrics. */
+export function startStatusServers(
+  settings: Pick<
+    hostDaemonOptions.HostDaemonSettings,
+    'readiness' | 'readinessPath' | 'metrics' | 'metricsPath'
+  >,
+  isReady: () => boolean,
+  metrics: runtime.Metrics,
+): Promise<http.Server[]> {
+  return Promise.all([
+    serveResources(
+      {[settings.readinessPath]: () => readinessResponse(isReady())},
+      settings.readiness.port,
+      settings.readiness.address,
+    ),
+    serveResources(
+      {
+        [settings.metricsPath]: async () => ({
+          status: 200,
+          type: 'text/plain; version=0.0.4; charset=utf-8',
+          text: await metrics.exposition(),
+        }),
+      },
+      settings.metrics.port,
+      settings.metrics.address,
+    ),
+  ]);
+}
--- a/packages/host-daemon/src/test/caller-http-server_test.ts
+++ b/packages/host-daemon/src/test/caller-http-server_test.ts
@@ -111,6 +111,7 @@
   handler: callerHttpServer.CallerHttpServerOptions['handler'],
 ): Promise<callerHttpServer.CallerHttpServer> {
   const server = new callerHttpServer.CallerHttpServer({
+    clock: new runtime.SystemClock(),
     logger: runtime.silentLogger,
     metrics: new runtime.Metrics(),
     handler,
--- a/packages/host-daemon/src/test/fleet-fixture.ts
+++ b/packages/host-daemon/src/test/fleet-fixture.ts
@@ -1,5 +1,5 @@
 import * as http from 'node:http';
-import type * as net from 'node:net';
+import * as net from 'node:net';
 import type * as routing from '@camphorwharf/routing';
 import * as runtime from '@camphorwharf/runtime';
 import type * as httpBinding from '../http-binding.js';
@@ -189,6 +189,13 @@
     });
   }
 
+  /** Opens a connection to the daemon of a host, for raw HTTP. */
+  openConnection(host: FixtureHost): net.Socket {
+    const connection = net.connect(this.callerPort, host.address);
+    connection.on('error', () => undefined);
+    return connection;
+  }
+
   close(): void {
     for (const host of this.hosts) {
       host.daemon.close();
--- a/packages/host-daemon/src/test/host-daemon-stop_test.ts
+++ b/packages/host-daemon/src/test/host-daemon-stop_test.ts
@@ -1,3 +1,4 @@
+import type * as net from 'node:net';
 import test from 'ava';
 import * as helpers from './test-helpers.js';
 import * as fixtures from './fleet-fixture.js';
@@ -47,3 +48,92 @@
   await stopped;
   fixture.close();
 });
+
+test('an upload that ends late in a stop is not forwarded', async t => {
+  // Guards against a request that is read in time, forwarded when its body has
+  // arrived, and cut off at the end of the stop.
+  const fixture = await helpers.startFleet(1, {idempotent: false});
+  const [host] = fixture.hosts;
+  const upload = fixture.openConnection(host);
+  upload.write(
+    'POST /parts/7 HTTP/1.1\r\nHost: shop.example\r\nX-Request: request-1\r\n' +
+      'Authorization: Key key-1\r\nContent-Length: 4\r\n\r\nbo',
+  );
+  let received = '';
+  upload.on('data', chunk => (received += String(chunk)));
+  await helpers.waitUntil(() => host.daemon.runningRequests > 0);
+  const stopped = host.daemon.stop();
+  await new Promise(resolve => setTimeout(resolve, 2_900));
+  upload.write('dy');
+  await stopped;
+  fixture.close();
+  t.regex(received, /^HTTP\/1\.1 503 /);
+  t.is(host.received.length, 0);
+});
+
+/**
+ * Guards against requests that are forwarded late in a stop and cut off at its
+ * end: clients send on one connection until it closes.
+ */
+const CLIENTS = {
+  'one request at a time': {row: 1, workMs: 50},
+  'requests of a second': {row: 1, workMs: 1_000},
+  'rows of three requests': {row: 3, workMs: 50},
+  'rows of three requests of a second': {row: 3, workMs: 1_000},
+};
+for (const [name, {row, workMs}] of Object.entries(CLIENTS)) {
+  test(`no forwarded request is cut off by a stop: ${name}`, async t => {
+    const fixture = await helpers.startFleet(1);
+    const [host] = fixture.hosts;
+    host.handler = (request, response) =>
+      void setTimeout(
+        () => fixtures.sendValidResponse(request, response, 'whole'),
+        workMs,
+      );
+    const answered = new Set<string>();
+    let sent = 0;
+    const sendRow = (connection: net.Socket) => {
+      for (let index = 0; index < row; index++) {
+        connection.write(
+          `GET /parts/${++sent} HTTP/1.1\r\nHost: shop.example\r\n` +
+            `X-Request: ${sent}\r\nX-Remaining: 3000\r\n` +
+            'Authorization: Key key-1\r\n\r\n',
+        );
+      }
+    };
+    const runClient = async () => {
+      const connection = fixture.openConnection(host);
+      let text = '';
+      let isClosed = false;
+      connection.on('close', () => (isClosed = true));
+      connection.on('data', chunk => {
+        text += String(chunk);
+        for (const [, id] of text.matchAll(/x-request: (\d+)\r\n/gi)) {
+          answered.add(id);
+        }
+      });
+      while (!isClosed) {
+        const last = sent + row;
+        sendRow(connection);
+        await helpers.waitUntil(() => isClosed || answered.has(String(last)));
+      }
+    };
+    const stopAt = new Promise(resolve => setTimeout(resolve, 300));
+    const stopped = stopAt.then(() => host.daemon.stop());
+    let isStopped = false;
+    void stopped.then(() => (isStopped = true));
+    while (!isStopped) {
+      await runClient();
+      await new Promise(resolve => setTimeout(resolve, 10));
+    }
+    fixture.close();
+    const forwarded = host.received.map(({headers}) =>
+      String(headers['x-request']),
+    );
+    t.true(forwarded.length > row);
+    t.deepEqual(
+      forwarded.filter(id => !answered.has(id)),
+      [],
+    );
+  });
+}
--- a/packages/host-daemon/src/test/request-handler_test.ts
+++ b/packages/host-daemon/src/test/request-handler_test.ts
@@ -7,6 +7,7 @@
 import * as requestLogger from '../request-logger.js';
 import * as fleetState from '../fleet-state.js';
 import type * as requestForwarder from '../request-forwarder.js';
+import * as stopSchedule from '../stop-schedule.js';
 import * as workScheduler from '../work-scheduler.js';
 import * as fixtures from './fleet-fixture.js';
 import * as sampleConfiguration from './sample-configuration.js';
@@ -89,7 +90,7 @@
       isLagging: () => isLagging,
     }),
     forwarder,
-    rejectsRequests: () => false,
+    stopSchedule: new stopSchedule.StopSchedule(6_000),
   });
   const client = new runtime.CancelSource();
   const pending = handler.handle({
@@ -103,7 +104,9 @@
       'x-remaining': '3000',
     },
     isFirstOnConnection,
+    arrivedMs: clock.monotonicMs(),
     signal: client,
+    untilEarlierAnswered: () => Promise.resolve(),
     readBody: () => Promise.resolve(null),
   });
   // The client's disconnect is read in the same event loop iteration.
