--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -12,5 +12,6 @@
 } from './load-generator.js';
 export {LoadResults} from './load-results.js';
 export type {LatencySummary, LoadOutcome, LoadSample} from './load-results.js';
+export {LOOPBACK_FIRST_PORT, loopbackAddress} from './loopback.js';
 export {PlatformStandIn} from './platform.js';
 export type {PlatformMode, PlatformStandInOptions} from './platform.js';
