Let three hosts watch the platform and inform the others

Cause: every host held two watches of its own, and each change of the list woke all of them, so a fleet of n hosts called the store in proportion to n and to the changes, which also grow with n. Change: each host evaluates from the list alone which three hosts, in different availability zones, watch the platform, and which two hosts of each zone pass on what they learn (reader-selection.ts). Readers inform the relays of every zone, relays the hosts of their zone, at each change and each contact; a host that is told of something newer pulls the changes since its own revision. A report tells the reporter's own contact and that of the peers it heard from, and no more, so that no cycle makes old state look recent; a peer with a newer configuration no longer counts as contact for the older one. The timeout of idle watches that grew with the fleet is gone.

--- a/packages/host-daemon/src/fleet-state.ts
+++ b/packages/host-daemon/src/fleet-state.ts
@@ -1,10 +1,11 @@
 import * as routing from '@camphorwharf/routing';
 import type * as runtime from '@camphorwharf/runtime';
 import * as freshnessTracker from './freshness-tracker.js';
+import * as platformReading from './platform-reading.js';
 import type * as publishedState from './published-state.js';
+import * as readerSelection from './reader-selection.js';
 import * as stateReports from './state-reports.js';
 import * as versionedItems from './versioned-items.js';
-import * as watchTimeout from './watch-timeout.js';
 
 export interface FleetStateOptions {
   readonly decoder: publishedState.StateDecoder;
@@ -19,6 +20,8 @@
     configuration: routing.FleetConfiguration,
     nowMs: number,
   ) => void;
+  /** Called after a response of the platform. */
+  readonly onContact: (nowMs: number) => void;
   /** Called after the list of backend servers has changed. */
   readonly onServers: (nowMs: number) => void;
 }
@@ -35,6 +38,7 @@
   private readonly items = new versionedItems.VersionedItems();
   private readonly freshness: freshnessTracker.FreshnessTracker;
   private readonly reports: stateReports.StateReports;
+  private role = readerSelection.SOLE_READER;
 
   constructor(private readonly options: FleetStateOptions) {
     this.reports = new stateReports.StateReports(options);
@@ -66,8 +70,24 @@
     return Math.max(this.items.syncedRevision, this.items.latestRevision);
   }
 
-  get watchWaitMs(): number {
-    return watchTimeout.idleWatchTimeoutMs(
+  /** All changes of the list up to this revision have been received. */
+  get syncedRevision(): number {
+    return this.items.syncedRevision;
+  }
+
+  /** Whom this host informs of published state, and who informs it. */
+  get distributionRole(): readerSelection.DistributionRole {
+    return this.role;
+  }
+
+  setDistributionRole(role: readerSelection.DistributionRole): void {
+    this.role = role;
+  }
+
+  readMode(nowMs: number): platformReading.ReadModeName {
+    return platformReading.readMode(
+      this.role,
+      this.freshness.contactAges(nowMs),
       this.directory.size,
       this.options.platformReadsPerSecond,
     );
@@ -98,18 +118,25 @@
     version: number,
     nowMs: number,
   ): void {
-    this.freshness.recordPeerReport(report, version >= this.version, nowMs);
+    this.freshness.recordPeerReport(report, version === this.version, nowMs);
     this.removeExpired(nowMs);
   }
 
-  /** The state to transfer to a peer that has an older one. */
-  snapshot(): publishedState.StateSnapshot {
+  /**
+   * The state to transfer to a peer that has an older one: all of it, or what
+   * has changed since the peer's version and revision.
+   */
+  snapshot(
+    version = 0,
+    since: number | null = null,
+  ): publishedState.StateSnapshot {
+    const changes = since === null ? null : this.items.changesSince(since);
+    const servers = changes ?? this.items.changes();
     return {
-      configuration: this.configurationText,
-      servers: this.items
-        .changes()
-        .map(({key, text, revision}) => [key, text, revision]),
+      configuration: this.version > version ? this.configurationText : null,
+      servers: servers.map(({key, text, revision}) => [key, text, revision]),
       revision: this.items.syncedRevision,
+      ...(changes && since !== null ? {since} : {}),
     };
   }
 
@@ -123,7 +150,10 @@
       text,
       revision,
     }));
-    const applied = this.items.mergeList(changes, snapshot.revision);
+    const applied =
+      snapshot.since === undefined
+        ? this.items.mergeList(changes, snapshot.revision)
+        : this.items.mergeChanges(changes, snapshot.revision);
     this.applyChanges(applied, 'peer', nowMs);
   }
 
@@ -155,7 +185,9 @@
     nowMs: number,
   ): void {
     this.freshness.recordPlatformResult(subject, succeeded, nowMs);
-    if (succeeded) this.removeExpired(nowMs);
+    if (!succeeded) return;
+    this.removeExpired(nowMs);
+    this.options.onContact(nowMs);
   }
 
   /**
--- a/packages/host-daemon/src/freshness-tracker.ts
+++ b/packages/host-daemon/src/freshness-tracker.ts
@@ -1,5 +1,6 @@
 import type * as runtime from '@camphorwharf/runtime';
 import * as contactTracker from './contact-tracker.js';
+import type * as platformReading from './platform-reading.js';
 import type * as publishedState from './published-state.js';
 
 /** The contact of a process with the platform, as reported to its peers. */
@@ -13,11 +14,22 @@
    * peers reported.
    */
   readonly serversContactMs: number;
+  /**
+   * Milliseconds since the platform last confirmed the configuration to a peer
+   * that has told this process itself.
+   */
+  readonly relayedConfigurationAgeMs: number;
+  /** The same for the list of backend servers. */
+  readonly relayedServersAgeMs: number;
 }
 
 interface SubjectContacts {
   /** Responses received by this process itself. */
   readonly own: contactTracker.ContactTracker;
+  /** Responses received by peers, as these have reported themselves. */
+  readonly relayed: contactTracker.ContactTracker;
+  /** All responses that peers have reported, also those of their peers. */
+  readonly peers: contactTracker.ContactTracker;
   /** Responses received by this process or reported by peers. */
   readonly fleet: contactTracker.ContactTracker;
   connected: boolean | null;
@@ -25,9 +37,10 @@
 
 /**
  * Tracks how recent the knowledge of each published subject is. A process that
- * the platform refuses can rely on the reports of its peers. The ages that a
- * process reports are based on its own contact only, so that reports passed
- * around in a cycle cannot make old state look recent.
+ * the platform refuses can rely on the reports of its peers. A process reports
+ * its own contact and, apart from it, that of the peers that it heard it from.
+ * Reports are passed on no further, so that reports in a cycle cannot make old
+ * state look recent.
  */
 export class FreshnessTracker {
   private readonly contacts: Readonly<
@@ -40,6 +53,8 @@
   ) {
     const create = (): SubjectContacts => ({
       own: new contactTracker.ContactTracker(options),
+      relayed: new contactTracker.ContactTracker(options),
+      peers: new contactTracker.ContactTracker(options),
       fleet: new contactTracker.ContactTracker(options),
       connected: null,
     });
@@ -63,18 +78,32 @@
     return this.contacts.servers.fleet.isAuthoritative(nowMs);
   }
 
+  /** The greater of the ages of both subjects. */
+  contactAges(nowMs: number): platformReading.ContactAges {
+    const {configuration, servers} = this.contacts;
+    return {
+      ownMs: Math.max(configuration.own.ageMs(nowMs), servers.own.ageMs(nowMs)),
+      peersMs: Math.max(
+        configuration.peers.ageMs(nowMs),
+        servers.peers.ageMs(nowMs),
+      ),
+    };
+  }
+
   report(nowMs: number): ContactReport {
     const {configuration, servers} = this.contacts;
     return {
       configurationAgeMs: configuration.own.ageMs(nowMs),
       serversAgeMs: servers.own.ageMs(nowMs),
       serversContactMs: servers.fleet.durationMs(nowMs),
+      relayedConfigurationAgeMs: configuration.relayed.ageMs(nowMs),
+      relayedServersAgeMs: servers.relayed.ageMs(nowMs),
     };
   }
 
   /**
-   * Records the contact of a peer. A peer with an older configuration proves
-   * nothing about a newer one.
+   * Records the contact of a peer. A peer with another configuration proves
+   * nothing about the one of this process.
    */
   recordPeerReport(
     report: ContactReport,
@@ -83,13 +112,19 @@
   ): void {
     const {configuration, servers} = this.contacts;
     const {configurationAgeMs, serversAgeMs, serversContactMs} = report;
+    const {relayedConfigurationAgeMs, relayedServersAgeMs} = report;
     if (isConfigurationCurrent) {
-      configuration.fleet.recordContact(nowMs - configurationAgeMs);
+      const contactMs = nowMs - configurationAgeMs;
+      configuration.relayed.recordContact(contactMs);
+      for (const tracker of [configuration.peers, configuration.fleet]) {
+        tracker.recordContact(contactMs);
+        tracker.recordContact(nowMs - relayedConfigurationAgeMs);
+      }
     }
-    servers.fleet.recordContact(
-      nowMs - serversAgeMs,
-      serversContactMs - serversAgeMs,
-    );
+    const ageMs = Math.min(serversAgeMs, relayedServersAgeMs);
+    servers.relayed.recordContact(nowMs - serversAgeMs);
+    servers.peers.recordContact(nowMs - ageMs);
+    servers.fleet.recordContact(nowMs - ageMs, serversContactMs - ageMs);
   }
 
   /** Records a response or a failure of the platform. */
@@ -113,9 +148,11 @@
 
   /** Discards all contact times. */
   reset(): void {
-    for (const {own, fleet} of Object.values(this.contacts)) {
-      own.reset();
-      fleet.reset();
+    for (const subject of Object.values(this.contacts)) {
+      subject.own.reset();
+      subject.relayed.reset();
+      subject.peers.reset();
+      subject.fleet.reset();
     }
   }
 }
--- a/packages/host-daemon/src/host-daemon.ts
+++ b/packages/host-daemon/src/host-daemon.ts
@@ -7,6 +7,7 @@
 import type * as http from 'node:http';
 import * as callerHttpServer from './caller-http-server.js';
 import * as requestHandler from './request-handler.js';
+import * as readerSelection from './reader-selection.js';
 import * as requestLogger from './request-logger.js';
 import * as peerReporter from './peer-reporter.js';
 import * as fleetState from './fleet-state.js';
@@ -80,6 +81,7 @@
       onConfiguration: (configuration, changedMs) =>
         this.applyConfiguration(configuration, changedMs),
       onServers: changedMs => this.applyServers(changedMs),
+      onContact: () => this.reporter?.informDownstream(),
     });
     this.client = new transport.BufferedExchangeClient({
       ...settings.backendServer,
@@ -288,19 +290,28 @@
   ): void {
     this.server.applyLimits(configuration.limits);
     this.limits.configure(configuration.organisations, nowMs);
-    this.reporter?.sendAll();
+    this.reporter?.informDownstream();
   }
 
   private applyServers(nowMs: number): void {
     const {directory} = this.state;
     this.targetState.update(directory, nowMs);
     this.loadBalancer.retain(instance => directory.get(instance) !== null);
-    const previousCount = this.members.count;
-    this.members.setListed(
-      new Set(directory.servers().map(server => server.hostAddress)),
-      nowMs,
+    const hosts = directory.servers().map(server => ({
+      address: server.hostAddress,
+      availabilityZone: server.availabilityZone,
+    }));
+    const {reporter, state} = this;
+    const ownAddress = this.options.settings.callers.address;
+    state.setDistributionRole(
+      readerSelection.distributionRole(ownAddress, hosts),
     );
+    const previous = reporter.peerHosts();
+    this.members.setListed(new Set(hosts.map(({address}) => address)), nowMs);
     // Newly discovered hosts exchange their rate limit usage immediately.
-    if (this.members.count > previousCount) this.reporter.sendAll();
+    reporter.greet(
+      [...reporter.peerHosts()].filter(host => !previous.has(host)),
+    );
+    reporter.informDownstream();
   }
 }
--- a/packages/host-daemon/src/index.ts
+++ b/packages/host-daemon/src/index.ts
@@ -5,6 +5,8 @@
   HostDaemonOptions,
   HostDaemonSettings,
 } from './host-daemon-options.js';
+export {READER_WATCH_MS} from './platform-reading.js';
+export type {ReadModeName} from './platform-reading.js';
 export type {
   ItemChange,
   PublishedSubject,
--- a/packages/host-daemon/src/peer-report.ts
+++ b/packages/host-daemon/src/peer-report.ts
@@ -12,7 +12,8 @@
   readonly configuration: number;
   /** Revision of the newest list change that the host has received. */
   readonly revision: number;
-  readonly uses: fleetLimits.UseReport[];
+  /** Null in a report that only tells of published state and contact. */
+  readonly uses: fleetLimits.UseReport[] | null;
   readonly pressure: number;
   readonly downstreamPressure: number;
   /**
@@ -25,8 +26,13 @@
 export function encodeContact(
   contact: freshnessTracker.ContactReport,
 ): readonly number[] {
-  const {configurationAgeMs, serversAgeMs, serversContactMs} = contact;
-  return [configurationAgeMs, serversAgeMs, serversContactMs].map(Math.round);
+  return [
+    contact.configurationAgeMs,
+    contact.serversAgeMs,
+    contact.serversContactMs,
+    contact.relayedConfigurationAgeMs,
+    contact.relayedServersAgeMs,
+  ].map(Math.round);
 }
 
 /** Returns null if the value is not a valid report. */
@@ -40,11 +46,11 @@
   if (typeof configuration !== 'number' || typeof revision !== 'number') {
     return null;
   }
-  if (!Array.isArray(uses)) return null;
+  if (uses !== null && !Array.isArray(uses)) return null;
   const {downstreamPressure = 0, pressure = 0} = raw;
   if (!isRatio(pressure) || !isRatio(downstreamPressure)) return null;
   const decoded: fleetLimits.UseReport[] = [];
-  for (const use of uses as unknown[]) {
+  for (const use of (uses ?? []) as unknown[]) {
     if (!Array.isArray(use)) return null;
     const [organisation, used, demand, level] = use as unknown[];
     if (typeof organisation !== 'string') return null;
@@ -63,7 +69,7 @@
     leaving,
     configuration,
     revision,
-    uses: decoded,
+    uses: uses === null ? null : decoded,
     pressure,
     downstreamPressure,
     contact: decodeContact(raw['contact']),
@@ -71,13 +77,26 @@
 }
 
 function decodeContact(raw: unknown): freshnessTracker.ContactReport | null {
-  if (!Array.isArray(raw) || raw.length !== 3) return null;
+  // Earlier releases send the first three values only.
+  if (!Array.isArray(raw) || (raw.length !== 3 && raw.length !== 5))
+    {return null;}
   const isDuration = (value: unknown) =>
     typeof value === 'number' && value >= 0;
   if (!raw.every(isDuration)) return null;
-  const [configurationAgeMs, serversAgeMs, serversContactMs] =
-    raw as readonly number[];
-  return {configurationAgeMs, serversAgeMs, serversContactMs};
+  const [
+    configurationAgeMs,
+    serversAgeMs,
+    serversContactMs,
+    relayedConfigurationAgeMs = Infinity,
+    relayedServersAgeMs = Infinity,
+  ] = raw as readonly number[];
+  return {
+    configurationAgeMs,
+    serversAgeMs,
+    serversContactMs,
+    relayedConfigurationAgeMs,
+    relayedServersAgeMs,
+  };
 }
 
 function isRatio(value: unknown): value is number {
--- a/packages/host-daemon/src/peer-reporter.ts
+++ b/packages/host-daemon/src/peer-reporter.ts
@@ -13,6 +13,9 @@
  */
 const SCARCE_INTERVAL_RATIO = 0.3;
 
+/** Reports of several readers that arrive close together are passed on once. */
+const MINIMUM_INFORM_INTERVAL_MS = 150;
+
 /** Maximum report rate of a host, regardless of the size of the fleet. */
 const MAXIMUM_REPORTS_PER_SECOND = 100;
 
@@ -53,6 +56,7 @@
  */
 export class PeerReporter {
   private leaving = false;
+  private lastInformedMs = -Infinity;
   private readonly stateFetcher: peerStateFetcher.PeerStateFetcher;
   /** Incarnation and age of the last report of each host. */
   private readonly lastReports = new Map<
@@ -99,7 +103,7 @@
   sendAll(): void {
     const {load, ownAddress} = this.options;
     this.recordPressure(ownAddress, load());
-    const report = this.buildReport();
+    const report = this.buildReport(true);
     for (const host of this.peerHosts()) void this.sendTo(host, report);
   }
 
@@ -120,19 +124,30 @@
     if (report.contact) {
       state.recordPeerContact(report.contact, report.configuration, nowMs);
     }
-    limits.applyReport(
-      report.host,
-      report.incarnation,
-      report.ageMs,
-      report.uses,
-      nowMs,
-    );
+    if (report.uses) {
+      limits.applyReport(
+        report.host,
+        report.incarnation,
+        report.ageMs,
+        report.uses,
+        nowMs,
+      );
+    }
     for (const server of state.directory.servers()) {
       if (server.hostAddress !== report.host) continue;
       loadBalancer.noteLeaving(server.instance, report.leaving);
     }
     this.recordPressure(report.host, report);
     this.stateFetcher.fetchIfNewer(report, link);
+    this.passOnContact(report, nowMs);
+  }
+
+  /** Passes on the contact of a reader to the hosts that this one informs. */
+  private passOnContact(report: peerReport.PeerReport, nowMs: number): void {
+    const {upstream} = this.options.state.distributionRole;
+    if (report.uses !== null || !upstream.has(report.host)) return;
+    if (nowMs - this.lastInformedMs < MINIMUM_INFORM_INTERVAL_MS) return;
+    this.informDownstream();
   }
 
   /**
@@ -172,16 +187,35 @@
     }
   }
 
-  answerStateQuery(): protocol.ControlReply {
+  answerStateQuery(query: protocol.ConfigurationDigest): protocol.ControlReply {
+    const {state} = this.options;
+    const since = peerStateFetcher.decodeRevision(query.digest);
+    const snapshot =
+      since === null ? state.snapshot() : state.snapshot(query.revision, since);
     return {
       kind: 'configurationAnswer',
-      revision: this.options.state.version,
+      revision: state.version,
       digest: '',
-      document: JSON.stringify(this.options.state.snapshot()),
+      document: JSON.stringify(snapshot),
     };
   }
 
-  private buildReport(): Readonly<Record<string, unknown>> {
+  /** Tells the hosts that this one informs of its published state and contact. */
+  informDownstream(): void {
+    const {downstream} = this.options.state.distributionRole;
+    if (downstream.size === 0) return;
+    this.lastInformedMs = this.options.clock.monotonicMs();
+    const report = this.buildReport(false);
+    for (const host of downstream) void this.sendTo(host, report);
+  }
+
+  /** Sends a full report to hosts that have just been listed. */
+  greet(hosts: Iterable<string>): void {
+    const report = this.buildReport(true);
+    for (const host of hosts) void this.sendTo(host, report);
+  }
+
+  private buildReport(isFull: boolean): Readonly<Record<string, unknown>> {
     const {clock, incarnation, limits, ownAddress, startedMs, state} =
       this.options;
     const nowMs = clock.monotonicMs();
@@ -193,9 +227,7 @@
       leaving: this.leaving || this.options.isTargetLeaving(),
       configuration: state.version,
       revision: state.latestRevision,
-      uses: limits
-        .report(nowMs)
-        .map(use => [use.organisation, use.used, use.demand, use.level]),
+      uses: isFull ? encodeUses(limits.report(nowMs)) : null,
       ...(pressure === undefined ? {} : {pressure}),
       ...(downstreamPressure === undefined ? {} : {downstreamPressure}),
       contact: peerReport.encodeContact(state.contactReport(nowMs)),
@@ -217,3 +249,7 @@
     }
   }
 }
+
+function encodeUses(uses: readonly fleetLimits.UseReport[]): unknown[] {
+  return uses.map(use => [use.organisation, use.used, use.demand, use.level]);
+}
--- a/packages/host-daemon/src/peer-request-handler.ts
+++ b/packages/host-daemon/src/peer-request-handler.ts
@@ -117,7 +117,7 @@
         };
       }
       case 'configurationDigest':
-        return this.options.reporter().answerStateQuery();
+        return this.options.reporter().answerStateQuery(body);
       default:
         return {kind: 'unsupported'};
     }
--- a/packages/host-daemon/src/peer-state-fetcher.ts
+++ b/packages/host-daemon/src/peer-state-fetcher.ts
@@ -5,10 +5,14 @@
 import * as publishedState from './published-state.js';
 
 /**
- * Delay of a fetch. The platform normally delivers a change within this time.
+ * Delay of a fetch from a host that does not inform this one. The platform or
+ * the upstream normally delivers a change within this time.
  */
 const FETCH_DELAY_MS = 400;
 
+/** Time after which a second upstream is asked for the same change. */
+const HEDGE_DELAY_MS = 200;
+
 /** A peer that has not responded within this time is given up. */
 const FETCH_TIMEOUT_MS = 800;
 
@@ -55,11 +59,15 @@
     const {clock, logger, state} = this.options;
     const {host} = report;
     try {
-      // A process without a configuration does not wait for the platform.
-      if (state.index) await clock.delay(FETCH_DELAY_MS);
+      const delayMs = this.fetchDelayMs(host);
+      if (delayMs > 0) await clock.delay(delayMs);
       if (!this.isNewer(report)) return;
       const reply = await link.request(
-        {kind: 'configurationDigest', revision: state.version, digest: ''},
+        {
+          kind: 'configurationDigest',
+          revision: state.version,
+          digest: encodeRevision(state.syncedRevision),
+        },
         FETCH_TIMEOUT_MS,
       );
       if (reply.kind !== 'configurationAnswer' || !reply.document) return;
@@ -81,4 +89,23 @@
       });
     }
   }
+
+  private fetchDelayMs(host: string): number {
+    const {state} = this.options;
+    const isUpstream = state.distributionRole.upstream.has(host);
+    // A process without a configuration waits for nobody.
+    if (state.index && !isUpstream) return FETCH_DELAY_MS;
+    return this.pending.size > 1 ? HEDGE_DELAY_MS : 0;
+  }
+}
+
+/** Encodes the list revision of the asking process into a state query. */
+function encodeRevision(revision: number): string {
+  return `list:${revision}`;
+}
+
+/** Returns null for a query of an earlier release, which asks for everything. */
+export function decodeRevision(digest: string): number | null {
+  const match = /^list:(\d{1,15})$/.exec(digest);
+  return match ? Number(match[1]) : null;
 }
--- a/packages/host-daemon/src/published-state.ts
+++ b/packages/host-daemon/src/published-state.ts
@@ -1,5 +1,6 @@
 import type * as routing from '@camphorwharf/routing';
 import * as zod from 'zod';
+import type * as platformReading from './platform-reading.js';
 
 /** Decodes what the platform publishes. */
 export interface StateDecoder {
@@ -42,8 +43,8 @@
   onServersSynced(revision: number): void;
   /** Called after each response and each failure of the platform. */
   onContact(subject: PublishedSubject, succeeded: boolean, nowMs: number): void;
-  /** How long a watch without changes should wait, in milliseconds. */
-  readonly watchWaitMs: number;
+  /** Whether, and for whom, this host calls the platform now. */
+  readMode(nowMs: number): platformReading.ReadModeName;
 }
 
 /** Reads from the platform until the signal aborts. */
@@ -60,6 +61,11 @@
   ),
   /** The sender has all changes of the list up to this revision. */
   revision: zod.int(),
+  /**
+   * If present, `servers` has only the changes after this revision; otherwise
+   * it is the whole list.
+   */
+  since: zod.int().optional(),
 });
 
 /** The state that one process transfers to another. */
--- a/packages/host-daemon/src/test/fleet-state-fixture.ts
+++ b/packages/host-daemon/src/test/fleet-state-fixture.ts
@@ -23,6 +23,7 @@
     entryRenewalMs: 1_500,
     onConfiguration: () => undefined,
     onServers: () => undefined,
+    onContact: () => undefined,
   });
 }
 
--- a/packages/host-daemon/src/test/peer-reporter_test.ts
+++ b/packages/host-daemon/src/test/peer-reporter_test.ts
@@ -7,6 +7,7 @@
 import test from 'ava';
 import * as peerReporter from '../peer-reporter.js';
 import type * as fleetState from '../fleet-state.js';
+import * as readerSelection from '../reader-selection.js';
 import * as servers from './sample-servers.js';
 
 const HOSTS = {shop: '10.0.0.1', parts: '10.0.0.2', billing: '10.0.0.3'};
@@ -39,8 +40,11 @@
         configurationAgeMs: 0,
         serversAgeMs: 0,
         serversContactMs: 0,
+        relayedConfigurationAgeMs: 0,
+        relayedServersAgeMs: 0,
       }),
       recordPeerContact: () => undefined,
+      distributionRole: readerSelection.SOLE_READER,
     } as unknown as fleetState.FleetState,
     limits: new fleetLimits.FleetRateLimits(members, 1_000),
     loadBalancer: new routing.TargetBalancer(HOSTS[service], 'a', random),
--- a/packages/host-daemon/src/test/request-handler_test.ts
+++ b/packages/host-daemon/src/test/request-handler_test.ts
@@ -48,6 +48,7 @@
     entryRenewalMs: 1_500,
     onConfiguration: () => undefined,
     onServers: () => undefined,
+    onContact: () => undefined,
   });
   state.onConfigurationRead(
     JSON.stringify(sampleConfiguration.fleetConfiguration()),
--- a/packages/host-daemon/src/test/versioned-items_test.ts
+++ b/packages/host-daemon/src/test/versioned-items_test.ts
@@ -175,3 +175,60 @@
     {numRuns: 2_000, seed: 18},
   );
 });
+
+type Transfer =
+  | {readonly to: 'sender' | 'receiver'; readonly update: Update}
+  | {readonly to: 'transfer'};
+
+test('a peer that pulls changes since its revision equals its sender', t => {
+  // Guards against a deletion or a change that is missing from the difference
+  // between two states, and against a difference that reverts an item.
+  const transfers = fastCheck.array(
+    fastCheck.oneof(
+      fastCheck.record({
+        to: fastCheck.constantFrom('sender', 'receiver'),
+        update: updates.map(list => list[0]).filter(Boolean),
+      }),
+      fastCheck.record({to: fastCheck.constant('transfer')}),
+    ) as fastCheck.Arbitrary<Transfer>,
+    {maxLength: 30},
+  );
+  fastCheck.assert(
+    fastCheck.property(writes, transfers, (history, steps) => {
+      const store = new Store(history);
+      const sender = new versionedItems.VersionedItems();
+      const receiver = new versionedItems.VersionedItems();
+      const seen = new Map<string, number>();
+      const accept = (applied: readonly publishedState.ItemChange[]) => {
+        for (const {key, revision} of applied) {
+          t.true(revision > (seen.get(key) ?? 0));
+          seen.set(key, revision);
+        }
+      };
+      const pull = () => {
+        const changes = sender.changesSince(receiver.syncedRevision);
+        const revision = sender.syncedRevision;
+        accept(
+          changes === null
+            ? receiver.mergeList(sender.changes(), revision)
+            : receiver.mergeChanges(changes, revision),
+        );
+      };
+      for (const step of steps) {
+        if (step.to === 'transfer') pull();
+        else if (step.to === 'sender') deliver(sender, store, step.update);
+        else accept(deliver(receiver, store, step.update));
+      }
+      deliver(sender, store, {kind: 'watch', through: store.revision});
+      pull();
+      const textsOf = (items: versionedItems.VersionedItems) =>
+        items
+          .changes()
+          .filter(change => change.text !== null)
+          .map(({key, text}) => `${key}: ${text}`)
+          .sort();
+      t.deepEqual(textsOf(receiver), textsOf(sender));
+    }),
+    {numRuns: 5_000, seed: 23},
+  );
+});
--- a/packages/host-daemon/src/versioned-items.ts
+++ b/packages/host-daemon/src/versioned-items.ts
@@ -1,5 +1,13 @@
 import type * as publishedState from './published-state.js';
 
+/** Number of recent deletions that can be told to peers one by one. */
+const MAXIMUM_LOGGED_DELETIONS = 2_000;
+
+interface Deletion {
+  readonly key: string;
+  readonly revision: number;
+}
+
 interface ItemState {
   readonly revision: number;
   readonly text: string | null;
@@ -13,6 +21,10 @@
 export class VersionedItems {
   /** Deletions are kept until all changes up to them are known. */
   private readonly items = new Map<string, ItemState>();
+  /** Recent deletions, for peers that have an older state. */
+  private deletions: Deletion[] = [];
+  /** Deletions up to this revision may be missing from the log. */
+  private deletionsForgottenThrough = 0;
   private synced = 0;
   private latest = 0;
 
@@ -31,6 +43,29 @@
     return [...this.items].map(([key, item]) => ({key, ...item}));
   }
 
+  /**
+   * The changes after `revision`, for a peer that has all earlier ones. Returns
+   * null if some of them are no longer known.
+   */
+  changesSince(revision: number): publishedState.ItemChange[] | null {
+    if (revision < this.deletionsForgottenThrough) return null;
+    const changed = this.changes().filter(item => item.revision > revision);
+    const deleted = this.deletions.filter(
+      deletion => deletion.revision > revision && !this.items.has(deletion.key),
+    );
+    return [...changed, ...deleted.map(item => ({...item, text: null}))];
+  }
+
+  /** Merges the changes that bring this process up to `revision`. */
+  mergeChanges(
+    changes: readonly publishedState.ItemChange[],
+    revision: number,
+  ): publishedState.ItemChange[] {
+    const applied = changes.filter(change => this.merge(change));
+    this.markSynced(revision);
+    return applied;
+  }
+
   /** Merges a change; returns whether it was new. */
   merge(change: publishedState.ItemChange): boolean {
     // An unknown key did not exist or had been deleted at `syncedRevision`.
@@ -48,6 +83,11 @@
     // Items of a list that is not older than the synced revision exist, even if
     // they are unknown here.
     const floor = revision < this.synced ? this.synced : 0;
+    // An item that was created and deleted since the last update is unknown.
+    this.deletionsForgottenThrough = Math.max(
+      this.deletionsForgottenThrough,
+      revision,
+    );
     const applied = list.filter(change => this.mergeIfNewer(change, floor));
     const listed = new Set(list.map(item => item.key));
     for (const [key, item] of this.items) {
@@ -81,7 +121,20 @@
     const knownRevision = this.items.get(key)?.revision ?? floor;
     if (revision <= knownRevision) return false;
     this.items.set(key, {revision, text});
+    if (text === null) this.logDeletion({key, revision});
     this.latest = Math.max(this.latest, revision);
     return true;
   }
+
+  private logDeletion(deletion: Deletion): void {
+    this.deletions.push(deletion);
+    if (this.deletions.length <= MAXIMUM_LOGGED_DELETIONS) return;
+    const forgotten = this.deletions.splice(0, MAXIMUM_LOGGED_DELETIONS / 2);
+    for (const {revision} of forgotten) {
+      this.deletionsForgottenThrough = Math.max(
+        this.deletionsForgottenThrough,
+        revision,
+      );
+    }
+  }
 }
