Ask a target never to start a call whose connection was lost

Change: the sender asks the target's daemon over another connection never to start the call; if the process that received it confirms, the call counts as refused and goes to another target. The query that packages/daemon already made moved to transport, and both use it. Measured: the new case fails without the query (unknown in place of refused).

--- a/packages/daemon/src/call-router.ts
+++ b/packages/daemon/src/call-router.ts
@@ -3,7 +3,7 @@
 import type * as declaration from '@camphorwharf/declaration';
 import type * as protocol from '@camphorwharf/protocol';
 import type * as runtime from '@camphorwharf/runtime';
-import type * as transport from '@camphorwharf/transport';
+import * as transport from '@camphorwharf/transport';
 import * as attemptResult from './attempt-result.js';
 import type * as callResult from './call-result.js';
 import * as deadlineSignal from './deadline-signal.js';
@@ -15,9 +15,6 @@
 /** Extra time after the deadline to receive the target's own result. */
 const RESULT_GRACE_MS = 100;
 
-/** Timeout of the request that cancels a call that has not started. */
-const CANCEL_QUERY_TIMEOUT_MS = 1_000;
-
 export interface CallRouterOptions {
   readonly clock: runtime.Clock;
   readonly metrics: runtime.Metrics;
@@ -277,29 +274,15 @@
     host: declaration.HostEntry,
     incarnation: string,
   ): Promise<boolean> {
-    let verdict = 'unreachable';
-    try {
-      const link = await this.options.peers.connectUnshared(
-        host.address,
-        host.peerPort,
-      );
-      try {
-        const reply = await link.request(
-          {kind: 'cancelIfNotStarted', requestId, attempt, incarnation},
-          CANCEL_QUERY_TIMEOUT_MS,
-        );
-        if (reply.kind === 'cancelAnswer') verdict = reply.verdict;
-      } finally {
-        link.close('query finished');
-      }
-    } catch {
-      verdict = 'unreachable';
-    }
-    this.options.metrics.count(
-      'cancel_queries_total',
-      'Queries that ask a target never to start a call, by verdict.',
-      {verdict},
+    const {metrics, peers} = this.options;
+    let link: transport.PeerLink | null = null;
+    const isConfirmed = await transport.confirmNeverStarts(
+      async () =>
+        (link = await peers.connectUnshared(host.address, host.peerPort)),
+      {requestId, attempt, incarnation},
+      metrics,
     );
-    return verdict === 'neverStarts';
+    (link as transport.PeerLink | null)?.close('query finished');
+    return isConfirmed;
   }
 }
--- a/packages/host-daemon/src/host-daemon.ts
+++ b/packages/host-daemon/src/host-daemon.ts
@@ -160,6 +160,7 @@
       loadBalancer: this.loadBalancer,
       client: new targetClient.TargetClient({
         clock,
+        metrics,
         peers,
         peerPort: settings.peers.port,
         ownAddress,
--- a/packages/host-daemon/src/target-client.ts
+++ b/packages/host-daemon/src/target-client.ts
@@ -1,7 +1,7 @@
 import type * as protocol from '@camphorwharf/protocol';
 import type * as routing from '@camphorwharf/routing';
 import * as runtime from '@camphorwharf/runtime';
-import type * as transport from '@camphorwharf/transport';
+import * as transport from '@camphorwharf/transport';
 import type * as routedRequest from './routed-request.js';
 import type * as localTarget from './local-target.js';
 import * as requestPriority from './request-priority.js';
@@ -14,11 +14,15 @@
 /** Time for the target's own response at the deadline to arrive. */
 const DEADLINE_MARGIN_MS = 100;
 
+/** Time for a target to confirm that it never starts a call. */
+const MAXIMUM_QUERY_MS = 600;
+
 /** Retry delay for callers when the target gives none. */
 const DEFAULT_RETRY_AFTER_MS = 300;
 
 export interface TargetClientOptions {
   readonly clock: runtime.Clock;
+  readonly metrics: Pick<runtime.Metrics, 'count'>;
   readonly peers: transport.PeerConnector;
   readonly peerPort: number;
   readonly ownAddress: string;
@@ -125,6 +129,12 @@
         unreachable: false,
       };
     }
+    const isWithdrawn = await this.confirmNeverStarts(request, server, {
+      requestId: request.requestId,
+      attempt: attemptNumber,
+      incarnation: link.remote.incarnation,
+    });
+    if (isWithdrawn) return refusedOutcome('targetUnavailable');
     return {
       result: {kind: 'unknown', reason: 'answerLost'},
       load: undefined,
@@ -132,6 +142,33 @@
     };
   }
 
+  /**
+   * The connection may have been silent before the call was sent. The lost one
+   * is closed, so that this opens another.
+   */
+  private async confirmNeverStarts(
+    request: routedRequest.RoutedRequest,
+    server: routing.BackendServer,
+    call: transport.LostCall,
+  ): Promise<boolean> {
+    const {clock, metrics, peerPort, peers} = this.options;
+    const remainingMs = request.deadlineMs - clock.monotonicMs();
+    if (remainingMs <= 0) return false;
+    const timeout = new AbortController();
+    const isConfirmed = await Promise.race([
+      transport.confirmNeverStarts(
+        () => peers.connect(server.hostAddress, peerPort),
+        call,
+        metrics,
+      ),
+      clock
+        .delay(Math.min(remainingMs, MAXIMUM_QUERY_MS), timeout.signal)
+        .then(() => false),
+    ]);
+    timeout.abort();
+    return isConfirmed;
+  }
+
   private outgoingCall(
     request: routedRequest.RoutedRequest,
     server: routing.BackendServer,
--- a/packages/host-daemon/src/test/target-client_test.ts
+++ b/packages/host-daemon/src/test/target-client_test.ts
@@ -22,11 +22,15 @@
   readonly sent: boolean;
   readonly kind: 'refused' | 'unknown';
   readonly unreachable: boolean;
+  /** What the target says to a query never to start the call. */
+  readonly verdict?: 'neverStarts' | 'started' | 'otherIncarnation';
 }
 
 /**
- * Guards against avoiding targets because callers have disconnected, and
- * against returning rate limit tokens of calls that may have run.
+ * Guards against avoiding targets because callers have disconnected, against
+ * returning rate limit tokens of calls that may have run, and against telling
+ * callers that the outcome of a call is unknown although it provably never ran:
+ * it was sent on a connection that had gone silent.
  */
 const CASES: Readonly<Record<string, Case>> = {
   'the caller disconnects before the call is written': {
@@ -53,11 +57,40 @@
     kind: 'unknown',
     unreachable: true,
   },
+  'the target confirms that it never starts the call': {
+    disconnects: false,
+    sent: true,
+    kind: 'refused',
+    unreachable: false,
+    verdict: 'neverStarts',
+  },
+  'the target has started the call': {
+    disconnects: false,
+    sent: true,
+    kind: 'unknown',
+    unreachable: true,
+    verdict: 'started',
+  },
+  'another process answers for the target': {
+    disconnects: false,
+    sent: true,
+    kind: 'unknown',
+    unreachable: true,
+    verdict: 'otherIncarnation',
+  },
 };
 for (const [name, testCase] of Object.entries(CASES)) {
   test(`a call without a response: ${name}`, async t => {
     const caller = new runtime.CancelSource();
+    const queries: unknown[] = [];
     const link = {
+      remote: {incarnation: 'incarnation-1'},
+      request: (query: unknown) => {
+        queries.push(query);
+        return testCase.verdict === undefined
+          ? Promise.reject(new Error('The query is not answered.'))
+          : Promise.resolve({kind: 'cancelAnswer', verdict: testCase.verdict});
+      },
       call: () => {
         if (testCase.disconnects) caller.abort();
         return Promise.resolve({kind: 'lost', sent: testCase.sent});
@@ -65,6 +98,7 @@
     } as unknown as transport.PeerLink;
     const client = new targetClient.TargetClient({
       clock: new runtime.ManualClock(),
+      metrics: new runtime.Metrics(),
       peers: {connect: () => Promise.resolve(link)} as never,
       peerPort: 7_000,
       ownAddress: '10.0.0.1',
@@ -94,5 +128,14 @@
     );
     t.is(attempt.result.kind, testCase.kind);
     t.is(attempt.unreachable, testCase.unreachable);
+    if (testCase.verdict === undefined) return;
+    t.deepEqual(queries, [
+      {
+        kind: 'cancelIfNotStarted',
+        requestId: 'request-1',
+        attempt: 1,
+        incarnation: 'incarnation-1',
+      },
+    ]);
   });
 }
--- /dev/null
+++ b/packages/transport/src/call-cancellation.ts
@@ -0,0 +1,43 @@
+import type * as runtime from '@camphorwharf/runtime';
+import type * as peer from './peer-interfaces.js';
+
+/** Timeout of a query, in milliseconds. */
+const QUERY_TIMEOUT_MS = 1_000;
+
+/** Identifies a call whose response was lost. */
+export interface LostCall {
+  readonly requestId: string;
+  readonly attempt: number;
+  /** Incarnation of the process that received the call. */
+  readonly incarnation: string;
+}
+
+/**
+ * Asks a target, over a connection other than the one that was lost, never to
+ * start a call. Returns true if the incarnation that received the call confirms
+ * that it has not started and never will; replies of other incarnations and
+ * failures prove nothing. Never rejects.
+ */
+export async function confirmNeverStarts(
+  connect: () => Promise<peer.PeerLink>,
+  call: LostCall,
+  metrics: Pick<runtime.Metrics, 'count'>,
+): Promise<boolean> {
+  let verdict = 'unreachable';
+  try {
+    const link = await connect();
+    const reply = await link.request(
+      {kind: 'cancelIfNotStarted', ...call},
+      QUERY_TIMEOUT_MS,
+    );
+    if (reply.kind === 'cancelAnswer') verdict = reply.verdict;
+  } catch {
+    verdict = 'unreachable';
+  }
+  metrics.count(
+    'cancel_queries_total',
+    'Queries that ask a target never to start a call, by verdict.',
+    {verdict},
+  );
+  return verdict === 'neverStarts';
+}
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -1,3 +1,5 @@
+export {confirmNeverStarts} from './call-cancellation.js';
+export type {LostCall} from './call-cancellation.js';
 export {untilInputRead} from './connection-close.js';
 export {PeerConnection} from './peer-connection.js';
 export type * from './peer-interfaces.js';
