Bound the responses that clients have not read by the process's memory

Cause: a response counted against a bound only until it had arrived from the backend server; after that any number of large ones could wait for clients that read slowly, on hosts with 250 MB. Two gauges and one log event tell which hosts read the platform for the others and how old a host's configuration is.

--- a/packages/host-daemon/src/caller-http-server.ts
+++ b/packages/host-daemon/src/caller-http-server.ts
@@ -79,6 +79,7 @@
     callerConnection.CallerConnection
   >();
   private draining = false;
+  private unsentResponseBytes = 0;
   private maximumHeaderBytes = MAXIMUM_PARSED_HEADER_BYTES;
 
   constructor(private readonly options: CallerHttpServerOptions) {
@@ -114,6 +115,11 @@
     return count;
   }
 
+  /** Bytes of responses that clients have not read yet. */
+  get unsentBytes(): number {
+    return this.unsentResponseBytes;
+  }
+
   listen(port: number, address: string): Promise<void> {
     return new Promise((resolve, reject) => {
       this.server.once('error', reject);
@@ -219,6 +225,8 @@
     response.sendDate = false;
     response.writeHead(reply.status, headers);
     const {body} = reply;
+    this.unsentResponseBytes += body.length;
+    response.once('close', () => (this.unsentResponseBytes -= body.length));
     if (body.length <= MAXIMUM_COALESCED_BODY_BYTES) {
       // Node.js combines the header with a string body but not with a buffer.
       response.end(toBuffer(body).toString('latin1'), 'latin1');
--- a/packages/host-daemon/src/fleet-state.ts
+++ b/packages/host-daemon/src/fleet-state.ts
@@ -81,6 +81,7 @@
   }
 
   setDistributionRole(role: readerSelection.DistributionRole): void {
+    this.reports.distributionRole(this.role, role);
     this.role = role;
   }
 
--- a/packages/host-daemon/src/host-daemon-options.ts
+++ b/packages/host-daemon/src/host-daemon-options.ts
@@ -28,6 +28,8 @@
   readonly drainMs: number;
   /** Time from the stop signal until the process is killed. */
   readonly stopLimitMs: number;
+  /** Memory that this process may use, in bytes. */
+  readonly memoryBytes: number;
   readonly retryBudget: fleetLimits.RetryBudgetSettings;
 }
 
--- a/packages/host-daemon/src/host-daemon.ts
+++ b/packages/host-daemon/src/host-daemon.ts
@@ -5,6 +5,7 @@
 import * as runtime from '@camphorwharf/runtime';
 import * as transport from '@camphorwharf/transport';
 import type * as http from 'node:http';
+import * as bodyMemory from './body-memory.js';
 import * as callerHttpServer from './caller-http-server.js';
 import * as requestHandler from './request-handler.js';
 import * as readerSelection from './reader-selection.js';
@@ -77,10 +78,12 @@
       onServers: changedMs => this.applyServers(changedMs),
       onContact: () => this.reporter?.informDownstream(),
     });
+    const memory = bodyMemory.bodyMemory(settings.memoryBytes);
     this.client = new transport.BufferedExchangeClient({
       ...settings.backendServer,
       nowMs: () => clock.monotonicMs(),
       maximumConnections: () => this.targetState.slots + EXTRA_CONNECTIONS,
+      maximumBufferedBytes: memory.receivingBytes,
     });
     const requestLog = new requestLogger.RequestLogger(logger, metrics, clock);
     const downstream = new admission.DownstreamPressure();
@@ -179,7 +182,10 @@
       state: this.state,
       limits: this.limits,
       entryPressure,
-      monitor: local.monitor,
+      monitor: bodyMemory.withMemoryPressure(
+        local.monitor,
+        () => this.server.unsentBytes >= memory.sendingBytes,
+      ),
       scheduler: local.scheduler,
       forwarder,
       stopSchedule: this.stopSchedule,
@@ -300,10 +306,9 @@
       availabilityZone: server.availabilityZone,
     }));
     const {reporter, state} = this;
-    const ownAddress = this.options.settings.callers.address;
-    state.setDistributionRole(
-      readerSelection.distributionRole(ownAddress, hosts),
-    );
+    const {address: ownAddress} = this.options.settings.callers;
+    const role = readerSelection.distributionRole(ownAddress, hosts);
+    state.setDistributionRole(role);
     const previous = reporter.peerHosts();
     this.members.setListed(new Set(hosts.map(({address}) => address)), nowMs);
     // Newly discovered hosts exchange their rate limit usage immediately.
--- a/packages/host-daemon/src/periodic-checks.ts
+++ b/packages/host-daemon/src/periodic-checks.ts
@@ -10,7 +10,10 @@
   readonly clock: runtime.Clock;
   readonly logger: runtime.Logger;
   readonly metrics: runtime.Metrics;
-  readonly state: Pick<fleetState.FleetState, 'handleSuspend'>;
+  readonly state: Pick<
+    fleetState.FleetState,
+    'configurationAgeMs' | 'handleSuspend'
+  >;
   readonly limits: Pick<fleetLimits.FleetRateLimits, 'tick'>;
   readonly monitor: Pick<loadMonitor.LoadMonitor, 'exportMetrics'>;
 }
@@ -31,6 +34,11 @@
     }
     limits.tick(nowMs);
     monitor.exportMetrics(metrics);
+    metrics.gauge(
+      'configuration_age_seconds',
+      'Time since the platform last confirmed the configuration, in seconds.',
+      state.configurationAgeMs(nowMs) / 1_000,
+    );
     await clock.delay(INTERVAL_MS, signal);
   }
 }
--- a/packages/host-daemon/src/state-reports.ts
+++ b/packages/host-daemon/src/state-reports.ts
@@ -1,5 +1,6 @@
 import type * as routing from '@camphorwharf/routing';
 import type * as runtime from '@camphorwharf/runtime';
+import type * as readerSelection from './reader-selection.js';
 
 /** Where this process received a change from. */
 export type ChangeSource = 'platform' | 'peer';
@@ -35,6 +36,28 @@
     this.reportUnrecognisedKinds(configuration);
   }
 
+  /** Reports changes of the hosts that this one reads from. */
+  distributionRole(
+    previous: readerSelection.DistributionRole,
+    role: readerSelection.DistributionRole,
+  ): void {
+    this.options.metrics.gauge(
+      'platform_reader',
+      '1 while this host watches the platform for others.',
+      role.isReader ? 1 : 0,
+    );
+    const informedBy = [...role.upstream].sort().join();
+    const isUnchanged =
+      role.isReader === previous.isReader &&
+      informedBy === [...previous.upstream].sort().join();
+    if (isUnchanged) return;
+    this.options.logger.info('distribution-role-changed', {
+      isReader: role.isReader,
+      informs: role.downstream.size,
+      informedBy,
+    });
+  }
+
   /** The configuration before it stays in force. */
   rejectedConfiguration(error: unknown): void {
     this.rejectedItem('configuration', error);
--- a/packages/host-daemon/src/test/fleet-fixture.ts
+++ b/packages/host-daemon/src/test/fleet-fixture.ts
@@ -69,6 +69,11 @@
   readonly body: string;
 }
 
+export interface FixtureOptions {
+  /** Memory that each daemon may use, in bytes. */
+  readonly memoryBytes?: number;
+}
+
 const PORTS_PER_FLEET = 4;
 
 let nextFixture = 0;
@@ -82,13 +87,20 @@
   private readonly listeners: publishedState.StateListener[] = [];
   private revision = 1;
 
-  static async start(count: number): Promise<FleetFixture> {
+  static async start(
+    count: number,
+    options: FixtureOptions = {},
+  ): Promise<FleetFixture> {
     const fixture = new FleetFixture();
     // All daemons of a fleet share their ports, so fixtures have distinct ones.
     const firstPort =
       standIns.LOOPBACK_FIRST_PORT + nextFixture++ * PORTS_PER_FLEET;
     for (let index = 1; index <= count; index++) {
-      await fixture.addHost(standIns.loopbackAddress(index), firstPort);
+      await fixture.addHost(
+        standIns.loopbackAddress(index),
+        firstPort,
+        options,
+      );
     }
     return fixture;
   }
@@ -207,7 +219,11 @@
 
   private callerPort = 0;
 
-  private async addHost(address: string, firstPort: number): Promise<void> {
+  private async addHost(
+    address: string,
+    firstPort: number,
+    options: FixtureOptions,
+  ): Promise<void> {
     const [callers, readiness, peers, metrics] = [0, 1, 2, 3].map(
       offset => firstPort + offset,
     );
@@ -245,6 +261,7 @@
         entryRenewalMs: 1_500,
         drainMs: 2_000,
         stopLimitMs: 6_000,
+        memoryBytes: options.memoryBytes ?? 256 * 1024 * 1024,
         retryBudget: {ratio: 0.2, slack: 48, windowMs: 10_000},
       },
       clock: new runtime.SystemClock(),
--- a/packages/host-daemon/src/test/test-helpers.ts
+++ b/packages/host-daemon/src/test/test-helpers.ts
@@ -15,8 +15,9 @@
 export async function startFleet(
   count: number,
   route: Parameters<fixtures.FleetFixture['publishConfiguration']>[1] = {},
+  options: fixtures.FixtureOptions = {},
 ): Promise<fixtures.FleetFixture> {
-  const fixture = await fixtures.FleetFixture.start(count);
+  const fixture = await fixtures.FleetFixture.start(count, options);
   fixture.publishConfiguration(1, route);
   fixture.listServers();
   return fixture;
