--- a/packages/command-line/src/demo/run-demo.ts
+++ b/packages/command-line/src/demo/run-demo.ts
@@ -3,7 +3,7 @@
 import * as fs from 'node:fs';
 import * as os from 'node:os';
 import * as path from 'node:path';
-import * as url from 'node:url';
+import * as documents from '../measure/documents.js';
 import * as deployments from './deployments.js';
 import * as fleets from './fleet.js';
 import * as processSet from './process-set.js';
@@ -43,7 +43,7 @@
   );
   const processes = new processSet.ProcessSet(clock, directory);
   try {
-    const document = compileExample(deployment.name);
+    const document = documents.compileExample(deployment.name);
     const fleet = new fleets.DemoFleet(
       deployment,
       directory,
@@ -72,20 +72,3 @@
     }
   }
 }
-
-/** Compiles the example declaration of a deployment. */
-export function compileExample(name: string): declaration.PublishedDocument {
-  const file = url.fileURLToPath(
-    new URL(`../../../../examples/${name}/declaration.toml`, import.meta.url),
-  );
-  const parsed = declaration.parseDeclaration(
-    fs.readFileSync(file, 'utf8'),
-    file,
-  );
-  if (!parsed.ok) {
-    throw new runtime.ConfigurationError(
-      parsed.problems.map(declaration.formatProblem).join('\n'),
-    );
-  }
-  return declaration.compile(parsed.declaration, 1);
-}
