--- a/packages/command-line/src/demo/run-demo.ts
+++ b/packages/command-line/src/demo/run-demo.ts
@@ -1,4 +1,3 @@
-import * as declaration from '@camphorwharf/declaration';
 import * as runtime from '@camphorwharf/runtime';
 import * as fs from 'node:fs';
 import * as os from 'node:os';
