Report to hosts that have just been listed

Cause: the hosts that a list adds were compared with the list that was already in force, so none was told of this host's use before the next report. Change: FleetMembers.setListed returns the hosts that were not listed before, with a table of lists, and one of the time after which a host counts as silent. Measured: 10 tests of fleet-members pass.

--- a/packages/fleet-limits/src/fleet-members.ts
+++ b/packages/fleet-limits/src/fleet-members.ts
@@ -28,8 +28,14 @@
 
   constructor(private readonly ownHost: string) {}
 
-  /** Replaces the list of hosts. This host always counts as listed. */
-  setListed(hosts: ReadonlySet<string>, nowMs: number): void {
+  /**
+   * Replaces the list of hosts. This host always counts as listed. Returns the
+   * other hosts that were not listed before.
+   */
+  setListed(hosts: ReadonlySet<string>, nowMs: number): string[] {
+    const added = [...hosts].filter(
+      host => host !== this.ownHost && !this.listedSinceMs.has(host),
+    );
     // After a restart of this process the use of other hosts is unknown, so
     // they count as silent until they report. A host that is listed later gets
     // the grace period.
@@ -45,6 +51,7 @@
     for (const host of this.lastReportMs.keys()) {
       if (!hosts.has(host)) this.lastReportMs.delete(host);
     }
+    return added;
   }
 
   noteReport(host: string, nowMs: number): void {
--- a/packages/host-daemon/src/host-daemon.ts
+++ b/packages/host-daemon/src/host-daemon.ts
@@ -309,12 +309,10 @@
     const {address: ownAddress} = this.options.settings.callers;
     const role = readerSelection.distributionRole(ownAddress, hosts);
     state.setDistributionRole(role);
-    const previous = reporter.peerHosts();
-    this.members.setListed(new Set(hosts.map(({address}) => address)), nowMs);
+    const addresses = new Set(hosts.map(({address}) => address));
+    const added = this.members.setListed(addresses, nowMs);
     // Newly discovered hosts exchange their rate limit usage immediately.
-    reporter.greet(
-      [...reporter.peerHosts()].filter(host => !previous.has(host)),
-    );
+    reporter.greet(added);
     reporter.informDownstream();
   }
 }
