--- a/review/1/play.mjs
+++ b/review/1/play.mjs
@@ -104,8 +104,8 @@
   );
   socket.write(
     'HTTP/1.1 200 OK\r\n' +
-      `Camphorwharf-Request-Id: ${run.id}\r\n` +
-      `Camphorwharf-Response-Signature: proof of ${run.id}\r\n` +
+      `${fleets.HEADERS.requestId}: ${run.id}\r\n` +
+      `${fleets.HEADERS.proof}: proof of ${run.id}\r\n` +
       'Transfer-Encoding: chunked\r\n\r\n',
   );
   const send = () => {
--- a/review/3/play.mjs
+++ b/review/3/play.mjs
@@ -44,10 +44,11 @@
       : [];
     const broken = [];
     for (const {id, host, answered} of requests) {
-      const {status, headers, isComplete, atMs} = await answered;
+      const answer = await answered;
+      const {status, isComplete, atMs} = answer;
       const [run] = fleet.runs.get(id) ?? [];
       const isOwnAnswer =
-        isComplete && !headers['camphorwharf-response-signature'];
+        isComplete && !fleets.headerOf(answer, fleets.HEADERS.proof);
       if (!run?.isBrokenOff || (isComplete && !isOwnAnswer)) continue;
       const afterMs = Math.round(run.brokenOffMs - stoppedMs);
       if (afterMs >= EXCUSED_FROM_MS) continue;
--- a/review/stand-ins/fleet.mjs
+++ b/review/stand-ins/fleet.mjs
@@ -46,6 +46,15 @@
   'recovery=15s',
 ];
 
+/** Names of the platform's messages. */
+const platformNames = JSON.parse(
+  fs.readFileSync(new URL('platform-names.json', import.meta.url), 'utf8'),
+);
+export const HEADERS = platformNames.headers;
+const PATHS = platformNames.paths;
+const FIELDS = platformNames.fields;
+const CONFIGURATION_KEY = platformNames.configurationKey;
+
 export const HOST_HEADER = 'shop.example';
 export const KEY = 'key-of-the-tenant';
 export const TENANT = 'tenant-a';
@@ -56,6 +65,11 @@
 /** Daemons that have been started and have not ended yet. */
 const daemons = new Set();
 
+/** The value of a header of a request or of an answer. */
+export function headerOf({headers}, name) {
+  return headers[name.toLowerCase()];
+}
+
 export const delay = ms => new Promise(resolve => setTimeout(resolve, ms));
 
 /** Writes what was sent, run and answered to `record.txt`, with times. */
@@ -117,7 +131,7 @@
       response.writeHead(status, {'content-type': 'application/json'});
       response.end(JSON.stringify({...body, at_revision: this.revision}));
     };
-    if (requestUrl.pathname === '/-/kv-range') {
+    if (requestUrl.pathname === PATHS.range) {
       const after = requestUrl.searchParams.get('after') ?? '';
       const items = [...this.items.values()]
         .filter(({key}) => key.startsWith(prefix) && key > after)
@@ -125,7 +139,7 @@
       send(200, {items, has_more: false});
       return;
     }
-    if (requestUrl.pathname !== '/-/kv-watch') {
+    if (requestUrl.pathname !== PATHS.watch) {
       send(404, {});
       return;
     }
@@ -229,7 +243,7 @@
     'timeout',
     'aim',
     'priority',
-    'traffic_split',
+    FIELDS.split,
     'max_attempts',
     'public',
     'service',
@@ -264,7 +278,7 @@
       idle_timeout: '15000ms',
     },
     tenants: {
-      columns: ['name', 'api_keys', 'priority', 'rate_per_s', 'burst'],
+      columns: ['name', FIELDS.keys, 'priority', FIELDS.rate, 'burst'],
       rows: [[TENANT, [KEY], 1, 0, 0]],
     },
   };
@@ -346,7 +360,7 @@
 
   publish() {
     this.store.write(
-      'op/config',
+      CONFIGURATION_KEY,
       configurationDocument(this.version++, this.routes),
     );
   }
@@ -357,9 +371,9 @@
       address: `${host.address}:${this.port('application')}`,
       zone: 'zone-a',
       version: 'v1',
-      max_concurrency: 36,
+      [FIELDS.slots]: 36,
       phase: 'ready',
-      cold_remaining: '0ms',
+      [FIELDS.coldRemaining]: '0ms',
       sequence: 1,
       born: 1_790_000_000_000,
       ...changes,
@@ -372,7 +386,7 @@
       const chunks = [];
       request.on('data', chunk => chunks.push(chunk));
       request.on('end', () => {
-        const id = request.headers['camphorwharf-request-id'] ?? '';
+        const id = headerOf(request, HEADERS.requestId) ?? '';
         const run = {
           atMs: performance.now(),
           id,
@@ -384,16 +398,16 @@
           request,
           response,
         };
-        const named = request.headers['camphorwharf-target-instance'];
+        const named = headerOf(request, HEADERS.namedInstance);
         if (request.url === '/healthz') {
-          response.writeHead(200, {'Camphorwharf-Instance-Id': host.instance});
+          response.writeHead(200, {[HEADERS.ownInstance]: host.instance});
           response.end();
           return;
         }
         if (named !== undefined && named !== host.instance) {
           response.writeHead(421, {
-            'Camphorwharf-Request-Id': id,
-            'Camphorwharf-Instance-Id': host.instance,
+            [HEADERS.requestId]: id,
+            [HEADERS.ownInstance]: host.instance,
           });
           response.end();
           return;
@@ -433,7 +447,7 @@
       `ip = "${host.address}"`,
       'zone = "zone-a"',
       'region = "region-a"',
-      `port_range = [${peers},${peers + 15}]`,
+      `${FIELDS.ports} = [${peers},${peers + 15}]`,
       'seeds = []',
       'bootstrap = true',
       'loss_counts = false',
@@ -443,7 +457,7 @@
       'contracts = ["base","drain","config","cost","retry","recover",' +
         '"pressure","tenants","quota","platform"]',
       `bounds = ${JSON.stringify(BOUNDS)}`,
-      `app_addr = "${at('application')}"`,
+      `${FIELDS.backendServer} = "${at('application')}"`,
       `service = "${host.service}"`,
       '[zones]',
       'zone-a = "region-a"',
@@ -559,10 +573,10 @@
           path: options.path,
           agent: options.agent ?? false,
           headers: {
-            'Host': HOST_HEADER,
-            'Camphorwharf-Request-Id': id,
-            'Camphorwharf-Request-Deadline': String(deadlineMs),
-            'Authorization': `Token ${KEY}`,
+            Host: HOST_HEADER,
+            [HEADERS.requestId]: id,
+            [HEADERS.deadline]: String(deadlineMs),
+            Authorization: `Token ${KEY}`,
             ...(method === 'GET'
               ? {}
               : {'Content-Length': Buffer.byteLength(body)}),
@@ -609,9 +623,9 @@
 /** Answers a run completely, with the proof of the backend server. */
 export function answer(run, text = `answer to ${run.id}`, status = 200) {
   run.response.writeHead(status, {
-    'Camphorwharf-Request-Id': run.id,
-    'Camphorwharf-Response-Signature': `proof of ${run.id}`,
-    'Camphorwharf-Instance-Load': '1,0,36',
+    [HEADERS.requestId]: run.id,
+    [HEADERS.proof]: `proof of ${run.id}`,
+    [HEADERS.load]: '1,0,36',
     'Content-Length': Buffer.byteLength(text),
   });
   run.response.end(text);
