Bound the memory and the time that bodies in small chunks take

Cause: bodies were kept as lists of chunks while their payload was counted. A chunk of one byte costs an object of some hundred bytes, or keeps the read buffer that it is a view of. The queue of a readable stream does the same. Uploads had no common bound at all.

Change: - BodyBuffer collects every body (responses of the backend server and of peers, uploads, unread bodies of peer calls, the store's responses) in blocks, so that it takes at most twice its length plus a constant. - BodyMemory is one account for all bodies of a process. When it is used up, the body that holds the most fails: a response is lost, an upload that has not been forwarded is refused with 503 and Retry-After. - Uploads are read through data events; a connection that delivers many chunks waits while others are read (ReadPacer). Chunked uploads beyond the configured length are refused too. - A message with more than 2 MiB of framing beyond its payload fails. - The decoding of request headers moved out of request-handler.ts.

The limits of tests (maximumBufferedBytes) became a BodyMemory of the same size.

--- a/packages/daemon/src/entry-handler.ts
+++ b/packages/daemon/src/entry-handler.ts
@@ -260,9 +260,11 @@
   outgoing: outgoingRequest.OutgoingRequest,
 ): Promise<string> {
   const {method, service, path, contentLength, body} = outgoing;
-  const chunks = body ? await body.readAhead(PAYLOAD_DIGEST_LIMIT_BYTES) : [];
+  const payload = body
+    ? await body.readAhead(PAYLOAD_DIGEST_LIMIT_BYTES)
+    : Buffer.alloc(0);
   const head = `${method} ${service} ${path} ${contentLength ?? ''}\n`;
-  return runtime.sha256Hex(Buffer.concat([Buffer.from(head), ...chunks]));
+  return runtime.sha256Hex(Buffer.concat([Buffer.from(head), payload]));
 }
 
 function refused(reason: protocol.RefusalReasonName): callResult.CallResult {
--- a/packages/daemon/src/replayable-body.ts
+++ b/packages/daemon/src/replayable-body.ts
@@ -1,3 +1,5 @@
+import * as transport from '@camphorwharf/transport';
+
 /** Maximum number of bytes of a request body that are buffered for retries. */
 export const REPLAY_LIMIT_BYTES = 256 * 1024;
 
@@ -7,8 +9,7 @@
  * memory.
  */
 export class ReplayableBody {
-  private readonly buffer: Uint8Array[] = [];
-  private bufferedBytes = 0;
+  private readonly buffer = new transport.BodyBuffer(null);
   private limitExceeded = false;
   private readonly source: AsyncIterator<Uint8Array>;
   private ended = false;
@@ -22,21 +23,23 @@
     return !this.limitExceeded;
   }
 
-  /** Buffers at least `limitBytes` if available and returns the chunks. */
-  async readAhead(limitBytes: number): Promise<readonly Uint8Array[]> {
-    while (!this.ended && this.bufferedBytes < limitBytes) await this.pull();
-    return this.buffer;
+  /** Buffers at least `limitBytes` if available and returns the buffer. */
+  async readAhead(limitBytes: number): Promise<Uint8Array> {
+    while (!this.ended && this.buffer.length < limitBytes) await this.pull();
+    return this.buffer.bytesFrom(0);
   }
 
   /** Streams the entire body; later invocations replay the buffer. */
   async *stream(): AsyncGenerator<Uint8Array> {
-    let index = 0;
+    let sentBytes = 0;
     for (;;) {
-      if (index < this.buffer.length) {
-        yield this.buffer[index++];
+      if (sentBytes < this.buffer.length) {
+        const chunk = this.buffer.bytesFrom(sentBytes);
+        sentBytes += chunk.length;
+        yield chunk;
       } else if (this.ended) {
         return;
-      } else if (this.bufferedBytes >= REPLAY_LIMIT_BYTES) {
+      } else if (this.buffer.length >= REPLAY_LIMIT_BYTES) {
         yield* this.streamUnbuffered();
         return;
       } else {
@@ -51,8 +54,7 @@
       this.ended = true;
       return;
     }
-    this.buffer.push(next.value);
-    this.bufferedBytes += next.value.byteLength;
+    this.buffer.append(next.value);
   }
 
   private async *streamUnbuffered(): AsyncGenerator<Uint8Array> {
--- a/packages/host-daemon/src/body-memory.ts
+++ b/packages/host-daemon/src/body-memory.ts
@@ -1,6 +1,8 @@
+import * as transport from '@camphorwharf/transport';
+
 /**
- * Part of the process's memory for responses that are being received from the
- * backend server.
+ * Part of the process's memory for bodies that are being received: from the
+ * backend server, from clients and from peers.
  */
 const RECEIVING_RATIO = 0.2;
 
@@ -15,15 +17,19 @@
   readonly processPressure: number;
 }
 
-/** Bounds on the bodies that a process holds, in bytes. */
-export interface BodyMemory {
-  readonly receivingBytes: number;
+/** Bounds on the bodies that a process holds. */
+export interface BodyLimits {
+  /** Memory of the bodies that are being received. */
+  readonly received: transport.BodyMemory;
+  /** Limit of the responses that clients have not read yet, in bytes. */
   readonly sendingBytes: number;
 }
 
-export function bodyMemory(memoryBytes: number): BodyMemory {
+export function bodyLimits(memoryBytes: number): BodyLimits {
   return {
-    receivingBytes: Math.floor(memoryBytes * RECEIVING_RATIO),
+    received: new transport.BodyMemory(
+      Math.floor(memoryBytes * RECEIVING_RATIO),
+    ),
     sendingBytes: Math.floor(memoryBytes * SENDING_RATIO),
   };
 }
--- a/packages/host-daemon/src/caller-connection.ts
+++ b/packages/host-daemon/src/caller-connection.ts
@@ -41,7 +41,9 @@
   private waiters: Waiter[] = [];
   private requestCount = 0;
   private isClosing = false;
-  private isPaused = false;
+  private hasTooManyRequests = false;
+  /** Number of causes for which reading is paused. */
+  private holds = 0;
 
   constructor(private readonly socket: net.Socket) {
     // The response closes a few event loop iterations after the end of its
@@ -148,13 +150,24 @@
     else this.limitReading();
   }
 
-  /** Node.js pauses reading for other reasons too, so only changes count. */
+  /**
+   * Pauses reading from the connection until `release` has been called as
+   * often. Node.js pauses it for other reasons too, so only changes count.
+   */
+  hold(): void {
+    if (this.holds++ === 0) this.socket.pause();
+  }
+
+  release(): void {
+    if (--this.holds === 0) this.socket.resume();
+  }
+
   private limitReading(): void {
-    const pause = this.size > MAXIMUM_UNANSWERED_REQUESTS;
-    if (pause === this.isPaused) return;
-    this.isPaused = pause;
-    if (pause) this.socket.pause();
-    else this.socket.resume();
+    const hasTooMany = this.size > MAXIMUM_UNANSWERED_REQUESTS;
+    if (hasTooMany === this.hasTooManyRequests) return;
+    this.hasTooManyRequests = hasTooMany;
+    if (hasTooMany) this.hold();
+    else this.release();
   }
 
   private remove(exchange: Exchange): void {
--- a/packages/host-daemon/src/caller-http-server.ts
+++ b/packages/host-daemon/src/caller-http-server.ts
@@ -3,7 +3,9 @@
 import type * as protocol from '@camphorwharf/protocol';
 import type * as routing from '@camphorwharf/routing';
 import type * as runtime from '@camphorwharf/runtime';
+import type * as transport from '@camphorwharf/transport';
 import * as callerConnection from './caller-connection.js';
+import * as readPacer from './read-pacer.js';
 import * as requestBody from './request-body.js';
 
 /**
@@ -44,11 +46,8 @@
    * client repeats this request, whatever its kind.
    */
   untilEarlierAnswered(): Promise<void>;
-  /**
-   * Reads the body into a buffer, or as a stream if it exceeds the buffering
-   * limit. Throws if the client aborts the request.
-   */
-  readBody(): Promise<requestBody.RequestBody>;
+  /** Reads the body; one of more than `maximumBytes` fails. */
+  readBody(maximumBytes: number): Promise<requestBody.BodyResult>;
 }
 
 export interface CallerResponse {
@@ -61,6 +60,8 @@
   readonly clock: Pick<runtime.Clock, 'monotonicMs'>;
   readonly logger: runtime.Logger;
   readonly metrics: runtime.Metrics;
+  /** Bounds the buffered bytes of all bodies of the process. */
+  readonly bodyMemory: transport.BodyMemory;
   /** Returns null to reset the connection without a response. */
   readonly handler: (
     request: IncomingRequest,
@@ -78,6 +79,7 @@
     net.Socket,
     callerConnection.CallerConnection
   >();
+  private readonly readPacer = new readPacer.ReadPacer();
   private draining = false;
   private unsentResponseBytes = 0;
   private maximumHeaderBytes = MAXIMUM_PARSED_HEADER_BYTES;
@@ -183,6 +185,7 @@
     if (headerSize(request.rawHeaders) > this.maximumHeaderBytes) {
       return adviceResponse(431, 'Send fewer or shorter headers.');
     }
+    let bodyReader: requestBody.RequestBodyReader | null = null;
     try {
       return await this.options.handler({
         method: request.method ?? 'GET',
@@ -195,13 +198,24 @@
         untilEarlierAnswered: async () => {
           await connection.untilFirst(exchange);
         },
-        readBody: () => requestBody.readBody(request),
+        readBody: maximumBytes => {
+          bodyReader = new requestBody.RequestBodyReader(
+            request,
+            connection,
+            this.options.bodyMemory,
+            this.readPacer,
+            maximumBytes,
+          );
+          return bodyReader.read();
+        },
       });
     } catch (error) {
       this.options.logger.error('caller-request-failed', {
         error: error instanceof Error ? error.message : String(error),
       });
       return null;
+    } finally {
+      (bodyReader as requestBody.RequestBodyReader | null)?.release();
     }
   }
 
--- a/packages/host-daemon/src/host-daemon.ts
+++ b/packages/host-daemon/src/host-daemon.ts
@@ -78,12 +78,12 @@
       onServers: changedMs => this.applyServers(changedMs),
       onContact: () => this.reporter?.informDownstream(),
     });
-    const memory = bodyMemory.bodyMemory(settings.memoryBytes);
+    const memory = bodyMemory.bodyLimits(settings.memoryBytes);
     this.client = new transport.BufferedExchangeClient({
       ...settings.backendServer,
       nowMs: () => clock.monotonicMs(),
       maximumConnections: () => this.targetState.slots + EXTRA_CONNECTIONS,
-      maximumBufferedBytes: memory.receivingBytes,
+      bodyMemory: memory.received,
     });
     const requestLog = new requestLogger.RequestLogger(logger, metrics, clock);
     const downstream = new admission.DownstreamPressure();
@@ -105,6 +105,7 @@
       clock,
       logger,
       metrics,
+      bodyMemory: memory.received,
       heartbeatIntervalMs: peerTiming.PEER_HEARTBEAT_MS,
       heartbeatPhaseMs: phaseMs,
       silenceLimitMs: peerTiming.PEER_SILENCE_MS,
@@ -164,6 +165,7 @@
       client: new targetClient.TargetClient({
         clock,
         metrics,
+        bodyMemory: memory.received,
         peers,
         peerPort: settings.peers.port,
         ownAddress,
@@ -194,6 +196,7 @@
       clock,
       logger,
       metrics,
+      bodyMemory: memory.received,
       handler: request => handler.handle(request),
     });
   }
@@ -201,15 +204,16 @@
   /** Opens the ports and starts the tasks. Throws if a port is in use. */
   async start(): Promise<void> {
     const {clock, logger, metrics, reader, settings} = this.options;
-    const {signal} = this.shutdown;
     await this.listener.listen(settings.peers.port, settings.peers.address);
     await this.server.listen(settings.callers.port, settings.callers.address);
-    const servers = await statusServer.startStatusServers(
-      settings,
-      () => this.isReady,
-      metrics,
+    this.statusServers.push(
+      ...(await statusServer.startStatusServers(
+        settings,
+        () => this.isReady,
+        metrics,
+      )),
     );
-    this.statusServers.push(...servers);
+    const {signal} = this.shutdown;
     const tasks = {
       platform: reader.run(this.state, signal),
       reports: this.reporter.run(signal),
@@ -282,10 +286,7 @@
     this.pool.close('daemon closed');
     this.listener.close('daemon closed');
     this.client.destroy();
-    for (const server of this.statusServers) {
-      server.close();
-      server.closeAllConnections();
-    }
+    statusServer.closeStatusServers(this.statusServers);
   }
 
   private applyConfiguration(
--- a/packages/host-daemon/src/request-handler.ts
+++ b/packages/host-daemon/src/request-handler.ts
@@ -1,12 +1,11 @@
 import * as admission from '@camphorwharf/admission';
 import type * as fleetLimits from '@camphorwharf/fleet-limits';
-import type * as protocol from '@camphorwharf/protocol';
 import type * as routing from '@camphorwharf/routing';
 import type * as runtime from '@camphorwharf/runtime';
-import * as transport from '@camphorwharf/transport';
 import type * as httpBinding from './http-binding.js';
 import * as responseBuilder from './response-builder.js';
 import * as callerHttpServer from './caller-http-server.js';
+import * as requestHeaders from './request-headers.js';
 import type * as requestBody from './request-body.js';
 import type * as routedRequest from './routed-request.js';
 import type * as requestLogger from './request-logger.js';
@@ -18,9 +17,6 @@
 import type * as workScheduler from './work-scheduler.js';
 import * as targetCall from './target-call.js';
 
-/** Timeout of a request whose client sends none or a malformed one. */
-const DEFAULT_DEADLINE_MS = 10_000;
-
 /**
  * Retry delay of a shed request, as a fraction of the route's latency
  * objective.
@@ -33,6 +29,12 @@
  */
 const STALE_RETRY_AFTER_MS = 500;
 
+/**
+ * Retry delay of a request refused for lack of memory for its body; most bodies
+ * in transit have been passed on by then.
+ */
+const MEMORY_RETRY_AFTER_MS = 1_000;
+
 export interface RequestHandlerOptions {
   readonly clock: runtime.Clock;
   readonly random: runtime.RandomSource;
@@ -62,45 +64,28 @@
 export class RequestHandler {
   private readonly responses: responseBuilder.ResponseBuilder;
   private readonly priorityMix = new admission.PriorityMix();
-  private readonly internalHeaders: ReadonlySet<string>;
-  private readonly requestIdHeader: string;
-  private readonly deadlineHeader: string;
-  private readonly keyHeader: string;
+  private readonly headers: requestHeaders.RequestHeaders;
 
   constructor(private readonly options: RequestHandlerOptions) {
-    const {binding} = options;
     this.responses = new responseBuilder.ResponseBuilder(options);
-    this.requestIdHeader = binding.requestIdHeader.toLowerCase();
-    this.deadlineHeader = binding.deadlineHeader.toLowerCase();
-    this.keyHeader = binding.keyHeader.toLowerCase();
-    this.internalHeaders = new Set([
-      this.deadlineHeader,
-      this.keyHeader,
-      binding.instanceHeader.toLowerCase(),
-      binding.organisationHeader.toLowerCase(),
-      binding.callerServiceHeader.toLowerCase(),
-    ]);
+    this.headers = new requestHeaders.RequestHeaders(options.binding);
   }
 
   async handle(
     incoming: callerHttpServer.IncomingRequest,
   ): Promise<callerHttpServer.CallerResponse | null> {
     const {arrivedMs} = incoming;
-    const requestId = this.singleHeader(incoming, this.requestIdHeader) ?? '';
+    const requestId = this.headers.requestId(incoming);
     const {index} = this.options.state;
     if (!index) {
       return this.responses.refuse(requestId, 'documentMissing', 0, arrivedMs);
     }
     const route = index.matchRoute(
-      this.singleHeader(incoming, 'host') ?? '',
+      this.headers.host(incoming),
       withoutQuery(incoming.path),
     );
     if (!route) return this.refuseInvalid(requestId, 'routeUnknown', arrivedMs);
-    const authorization = this.singleHeader(incoming, this.keyHeader);
-    const key =
-      authorization === null
-        ? null
-        : (this.options.binding.parseKey(authorization) ?? '');
+    const key = this.headers.key(incoming);
     const verdict = index.checkKey(route, key);
     switch (verdict.kind) {
       case 'missing':
@@ -135,7 +120,7 @@
       return this.responses.refuse(requestId, 'targetLeaving', 0, arrivedMs);
     }
     const remainingMs = Math.min(
-      this.clientTimeoutMs(incoming),
+      this.headers.timeoutMs(incoming),
       route.timeoutMs,
       stopSchedule.remainingMs(arrivedMs),
     );
@@ -173,17 +158,16 @@
         );
       }
     }
-    const declared = this.singleHeader(incoming, 'content-length');
-    if (Number(declared ?? 0) > index.configuration.limits.maximumBodyBytes) {
+    const contentLength = this.headers.contentLength(incoming);
+    const {maximumBodyBytes} = index.configuration.limits;
+    if ((contentLength ?? 0) > maximumBodyBytes) {
       if (organisation) limits.refund(organisation.name);
-      return callerHttpServer.adviceResponse(413, 'Send a shorter body.');
+      return tooLongResponse();
     }
-    let body: requestBody.RequestBody;
-    try {
-      body = await incoming.readBody();
-    } catch {
+    const bodyResult = await incoming.readBody(maximumBodyBytes);
+    if (bodyResult.kind !== 'body') {
       if (organisation) limits.refund(organisation.name);
-      return null; // The client aborted its request.
+      return this.refuseBody(bodyResult, requestId, remainingMs, arrivedMs);
     }
     if (!route.idempotent) await incoming.untilEarlierAnswered();
     const deadlineMs = arrivedMs + remainingMs;
@@ -201,9 +185,9 @@
       requestId,
       method: incoming.method,
       path: incoming.path,
-      headers: this.forwardedHeaders(incoming.rawHeaders),
-      body,
-      contentLength: declared === null ? null : Number(declared),
+      headers: this.headers.forwarded(incoming.rawHeaders),
+      body: bodyResult.body,
+      contentLength,
       route,
       service,
       organisation,
@@ -220,6 +204,39 @@
     return this.responses.build(request, result, remainingMs);
   }
 
+  /** The request has not been forwarded. */
+  private refuseBody(
+    failure: requestBody.BodyFailure,
+    requestId: string,
+    remainingMs: number,
+    arrivedMs: number,
+  ): callerHttpServer.CallerResponse | null {
+    this.options.metrics.count(
+      'request_bodies_refused_total',
+      'Request bodies that were not read to their end, by cause.',
+      {cause: failure.kind},
+    );
+    switch (failure.kind) {
+      case 'aborted':
+        return null;
+      case 'tooLong':
+        return tooLongResponse();
+      case 'tinyChunks':
+        return callerHttpServer.adviceResponse(
+          400,
+          'Send the body in larger chunks.',
+        );
+      case 'outOfMemory':
+        return this.responses.refuse(
+          requestId,
+          'overloaded',
+          remainingMs,
+          arrivedMs,
+          MEMORY_RETRY_AFTER_MS,
+        );
+    }
+  }
+
   /**
    * Forwards the request if it may still begin. Its body may have arrived long
    * after its head.
@@ -282,25 +299,10 @@
       processPressure > downstreamPressure ? 'thisProcess' : 'servicesBelow';
     return {source, pressure, share, priority};
   }
+}
 
-  private clientTimeoutMs(incoming: callerHttpServer.IncomingRequest): number {
-    const value = this.singleHeader(incoming, this.deadlineHeader);
-    if (value === null || !/^\d{1,9}$/.test(value)) return DEFAULT_DEADLINE_MS;
-    return Number(value);
-  }
-
-  /** Keeps names and order; drops the headers that the daemon sets itself. */
-  private forwardedHeaders(rawHeaders: readonly string[]): protocol.HeaderList {
-    return transport.endToEndHeaders(rawHeaders, this.internalHeaders);
-  }
-
-  private singleHeader(
-    incoming: callerHttpServer.IncomingRequest,
-    lowerName: string,
-  ): string | null {
-    const value = incoming.headers[lowerName];
-    return typeof value === 'string' ? value : null;
-  }
+function tooLongResponse(): callerHttpServer.CallerResponse {
+  return callerHttpServer.adviceResponse(413, 'Send a shorter body.');
 }
 
 function withoutQuery(target: string): string {
--- a/packages/host-daemon/src/status-server.ts
+++ b/packages/host-daemon/src/status-server.ts
@@ -76,3 +76,11 @@
     ),
   ]);
 }
+
+/** Stops the servers and closes their connections. */
+export function closeStatusServers(servers: readonly http.Server[]): void {
+  for (const server of servers) {
+    server.close();
+    server.closeAllConnections();
+  }
+}
--- a/packages/host-daemon/src/target-client.ts
+++ b/packages/host-daemon/src/target-client.ts
@@ -23,6 +23,8 @@
 export interface TargetClientOptions {
   readonly clock: runtime.Clock;
   readonly metrics: Pick<runtime.Metrics, 'count'>;
+  /** Bounds the buffered bytes of all bodies of the process. */
+  readonly bodyMemory: transport.BodyMemory;
   readonly peers: transport.PeerConnector;
   readonly peerPort: number;
   readonly ownAddress: string;
@@ -112,7 +114,7 @@
         signal: cancelSource,
       },
     );
-    const outcome = await readResult(result);
+    const outcome = await readResult(result, this.options.bodyMemory);
     clearTimeout(timer);
     request.signal.removeEventListener('abort', cancel);
     if (outcome !== 'lost') return outcome;
@@ -207,6 +209,7 @@
 /** Reads a result to its end; returns `lost` if the response is incomplete. */
 async function readResult(
   result: transport.PeerResult,
+  memory: transport.BodyMemory,
 ): Promise<AttemptOutcome | 'lost'> {
   switch (result.kind) {
     case 'whole': {
@@ -218,14 +221,9 @@
       };
     }
     case 'answer': {
-      const chunks: Uint8Array[] = [];
-      try {
-        for await (const chunk of result.body) chunks.push(chunk);
-      } catch {
-        return 'lost';
-      }
+      const body = await readBody(result.body, memory);
+      if (!body) return 'lost';
       const {status, headers} = result;
-      const body = Buffer.concat(chunks);
       return {
         result: {kind: 'answer', status, headers, body},
         load: undefined,
@@ -254,6 +252,27 @@
   }
 }
 
+/** Returns null if the body is incomplete or does not fit into the memory. */
+async function readBody(
+  body: AsyncIterable<Uint8Array>,
+  memory: transport.BodyMemory,
+): Promise<Uint8Array | null> {
+  let isEvicted = false;
+  const buffer = new transport.BodyBuffer(
+    memory.open(() => (isEvicted = true)),
+  );
+  try {
+    for await (const chunk of body) {
+      if (isEvicted || !buffer.append(chunk)) return null;
+    }
+    return isEvicted ? null : buffer.take();
+  } catch {
+    return null;
+  } finally {
+    buffer.clear();
+  }
+}
+
 function streamingBody(
   body: routedRequest.RoutedRequest['body'],
 ): AsyncIterable<Uint8Array> | null {
--- a/packages/host-daemon/src/test/caller-http-server_test.ts
+++ b/packages/host-daemon/src/test/caller-http-server_test.ts
@@ -34,7 +34,7 @@
   test(`a lagging process detects a client disconnect: request ${name}`, async t => {
     const aborted = new Promise<boolean>(resolve => {
       void startServer(async request => {
-        await request.readBody();
+        await request.readBody(1_000);
         await transport.untilInputRead();
         resolve(request.signal.aborted);
         return null;
@@ -114,6 +114,7 @@
     clock: new runtime.SystemClock(),
     logger: runtime.silentLogger,
     metrics: new runtime.Metrics(),
+    bodyMemory: new transport.BodyMemory(),
     handler,
   });
   await server.listen(0, '127.0.0.1');
--- a/packages/host-daemon/src/test/pipelining_test.ts
+++ b/packages/host-daemon/src/test/pipelining_test.ts
@@ -1,5 +1,6 @@
 import * as net from 'node:net';
 import * as runtime from '@camphorwharf/runtime';
+import * as transport from '@camphorwharf/transport';
 import test from 'ava';
 import * as callerHttpServer from '../caller-http-server.js';
 import * as helpers from './test-helpers.js';
@@ -38,6 +39,7 @@
       clock: new runtime.SystemClock(),
       logger: runtime.silentLogger,
       metrics: new runtime.Metrics(),
+      bodyMemory: new transport.BodyMemory(),
       handler: request =>
         new Promise(answer => {
           fixture?.started.push({path: request.path, request, answer});
--- a/packages/host-daemon/src/test/request-handler_test.ts
+++ b/packages/host-daemon/src/test/request-handler_test.ts
@@ -109,7 +109,7 @@
     arrivedMs: clock.monotonicMs(),
     signal: client,
     untilEarlierAnswered: () => Promise.resolve(),
-    readBody: () => Promise.resolve(null),
+    readBody: () => Promise.resolve({kind: 'body', body: null}),
   });
   // The client's disconnect is read in the same event loop iteration.
   if (isLagging || isFirstOnConnection) setImmediate(() => client.abort());
--- a/packages/host-daemon/src/test/target-client_test.ts
+++ b/packages/host-daemon/src/test/target-client_test.ts
@@ -1,5 +1,5 @@
 import * as runtime from '@camphorwharf/runtime';
-import type * as transport from '@camphorwharf/transport';
+import * as transport from '@camphorwharf/transport';
 import test from 'ava';
 import type * as localTarget from '../local-target.js';
 import * as targetClient from '../target-client.js';
@@ -99,6 +99,7 @@
     const client = new targetClient.TargetClient({
       clock: new runtime.ManualClock(),
       metrics: new runtime.Metrics(),
+      bodyMemory: new transport.BodyMemory(),
       peers: {connect: () => Promise.resolve(link)} as never,
       peerPort: 7_000,
       ownAddress: '10.0.0.1',
--- a/packages/transport/src/backend-client.ts
+++ b/packages/transport/src/backend-client.ts
@@ -1,6 +1,7 @@
 import type * as protocol from '@camphorwharf/protocol';
 import * as runtime from '@camphorwharf/runtime';
 import * as undici from 'undici';
+import * as bodyBuffer from './body-buffer.js';
 import * as backendExchange from './backend-exchange.js';
 import * as httpHeaders from './http-headers.js';
 
@@ -121,17 +122,15 @@
 }
 
 async function readText(body: AsyncIterable<Uint8Array>): Promise<string> {
-  const chunks: Uint8Array[] = [];
-  let bytes = 0;
+  const buffer = new bodyBuffer.BodyBuffer(null);
   for await (const chunk of body) {
-    chunks.push(chunk);
-    bytes += chunk.length;
-    if (bytes > MAXIMUM_PROBE_BYTES) {
+    buffer.append(chunk);
+    if (buffer.length > MAXIMUM_PROBE_BYTES) {
       throw new runtime.ProtocolError(
         `The probe response exceeds ${MAXIMUM_PROBE_BYTES} bytes. Shorten ` +
           'the health and load responses of the backend server.',
       );
     }
   }
-  return Buffer.concat(chunks).toString('utf8');
+  return buffer.takeText();
 }
--- a/packages/transport/src/backend-exchange.ts
+++ b/packages/transport/src/backend-exchange.ts
@@ -137,7 +137,7 @@
     this.responseBody = new bodyQueue.BodyQueue({
       declaredBytes: contentLength,
       windowBytes: Infinity,
-      budget: null,
+      memory: null,
       onConsumed: bytes => {
         this.unreadBytes -= bytes;
         if (this.unreadBytes <= HIGH_WATER_MARK_BYTES) controller.resume();
--- a/packages/transport/src/body-queue.ts
+++ b/packages/transport/src/body-queue.ts
@@ -1,11 +1,6 @@
 import * as runtime from '@camphorwharf/runtime';
-import type * as bodyBudget from './body-budget.js';
-
-/**
- * Chunks up to this size are merged or copied. Otherwise many small chunks, or
- * the larger read buffers that they are views of, could exceed the window.
- */
-const COALESCE_LIMIT_BYTES = 4_096;
+import * as bodyBuffer from './body-buffer.js';
+import * as bodyMemory from './body-memory.js';
 
 const DONE: IteratorReturnResult<undefined> = {done: true, value: undefined};
 
@@ -14,8 +9,8 @@
   readonly declaredBytes: number | null;
   /** Maximum number of unread bytes. */
   readonly windowBytes: number;
-  /** Limit shared with other bodies; null for none. */
-  readonly budget: bodyBudget.BodyBudget | null;
+  /** Memory shared with other bodies; null for none. */
+  readonly memory: bodyMemory.BodyMemory | null;
   /** Called when the reader has consumed bytes. */
   readonly onConsumed: (bytes: number) => void;
   /** Called when the reader stops before the end. */
@@ -35,14 +30,19 @@
 export class BodyQueue
   implements AsyncIterable<Uint8Array>, AsyncIterator<Uint8Array, undefined>
 {
-  private chunks: Uint8Array[] = [];
-  private queuedBytes = 0;
+  private readonly queue: bodyBuffer.BodyBuffer;
   private totalBytes = 0;
   private state: 'open' | 'ended' | 'failed' = 'open';
   private error: Error | null = null;
   private pendingRead: PendingRead | null = null;
 
-  constructor(private readonly options: BodyQueueOptions) {}
+  constructor(private readonly options: BodyQueueOptions) {
+    const reservation = options.memory?.open(error => {
+      this.fail(error);
+      options.onAbandoned();
+    });
+    this.queue = new bodyBuffer.BodyBuffer(reservation ?? null);
+  }
 
   /** Whether no further chunk is expected. */
   get ended(): boolean {
@@ -64,7 +64,7 @@
       resolve({done: false, value: chunk});
       return null;
     }
-    if (this.queuedBytes + chunk.length > windowBytes) {
+    if (this.queue.length + chunk.length > windowBytes) {
       return this.fail(
         new runtime.ProtocolError(
           `Body exceeds its window of ${windowBytes} bytes. Send only as ` +
@@ -72,16 +72,7 @@
         ),
       );
     }
-    if (this.options.budget && !this.options.budget.tryReserve(chunk.length)) {
-      return this.fail(
-        new runtime.ConnectionError(
-          'Too many unread body bytes on this connection. Read the bodies of ' +
-            'the other calls or cancel them.',
-        ),
-      );
-    }
-    this.queuedBytes += chunk.length;
-    this.enqueue(chunk);
+    if (!this.queue.append(chunk)) return this.fail(bodyMemory.memoryError());
     return null;
   }
 
@@ -111,7 +102,7 @@
     if (this.state !== 'open') return this.error ?? error;
     this.state = 'failed';
     this.error = error;
-    this.dropChunks();
+    this.queue.clear();
     this.pendingRead?.reject(error);
     this.pendingRead = null;
     return error;
@@ -122,10 +113,8 @@
   }
 
   next(): Promise<IteratorResult<Uint8Array, undefined>> {
-    const chunk = this.chunks.shift();
-    if (chunk) {
-      this.queuedBytes -= chunk.length;
-      this.options.budget?.release(chunk.length);
+    if (this.queue.length > 0) {
+      const chunk = this.queue.take();
       this.options.onConsumed(chunk.length);
       return Promise.resolve({done: false, value: chunk});
     }
@@ -147,29 +136,9 @@
       pendingRead?.resolve(DONE);
       this.options.onAbandoned();
     }
-    this.dropChunks();
+    this.queue.clear();
     return Promise.resolve(DONE);
   }
-
-  private dropChunks(): void {
-    this.options.budget?.release(this.queuedBytes);
-    this.queuedBytes = 0;
-    this.chunks = [];
-  }
-
-  private enqueue(chunk: Uint8Array): void {
-    const last = this.chunks.length - 1;
-    if (
-      last >= 0 &&
-      this.chunks[last].length + chunk.length <= COALESCE_LIMIT_BYTES
-    ) {
-      this.chunks[last] = Buffer.concat([this.chunks[last], chunk]);
-    } else if (chunk.length < COALESCE_LIMIT_BYTES) {
-      this.chunks.push(Buffer.from(chunk));
-    } else {
-      this.chunks.push(chunk);
-    }
-  }
 }
 
 function bodyLengthError(received: number, expected: number): Error {
--- a/packages/transport/src/buffered-exchange-client.ts
+++ b/packages/transport/src/buffered-exchange-client.ts
@@ -1,7 +1,7 @@
 import type * as net from 'node:net';
 import * as runtime from '@camphorwharf/runtime';
 import * as undici from 'undici';
-import * as bodyBudget from './body-budget.js';
+import * as bodyMemory from './body-memory.js';
 import * as httpHeaders from './http-headers.js';
 import * as bufferedExchangeHandler from './buffered-exchange-handler.js';
 
@@ -20,8 +20,8 @@
   readonly nowMs: () => number;
   /** Connection limit; requests beyond it result in `notSent`. */
   readonly maximumConnections: () => number;
-  /** Limit for the buffered bytes of all incomplete responses together. */
-  readonly maximumBufferedBytes?: number;
+  /** Bounds the buffered bytes of all bodies of the process. */
+  readonly bodyMemory?: bodyMemory.BodyMemory;
 }
 
 interface Connection {
@@ -41,10 +41,10 @@
   private readonly idleConnections: Connection[] = [];
   private readonly connections = new Set<Connection>();
   private readonly origin: string;
-  private readonly budget: bodyBudget.BodyBudget;
+  private readonly memory: bodyMemory.BodyMemory;
 
   constructor(private readonly options: BufferedExchangeOptions) {
-    this.budget = new bodyBudget.BodyBudget(options.maximumBufferedBytes);
+    this.memory = options.bodyMemory ?? new bodyMemory.BodyMemory();
     this.origin = `http://${options.address}:${options.port}`;
   }
 
@@ -67,9 +67,9 @@
       };
     }
     const handler = new bufferedExchangeHandler.BufferedExchangeHandler(
-      () => connection.socket?.errored != null,
+      () => connection.socket,
       reusable => this.release(connection, reusable),
-      this.budget,
+      this.memory,
     );
     handler.start(connection.client, request);
     return handler;
--- a/packages/transport/src/buffered-exchange-handler.ts
+++ b/packages/transport/src/buffered-exchange-handler.ts
@@ -1,7 +1,10 @@
 import type * as protocol from '@camphorwharf/protocol';
 import * as runtime from '@camphorwharf/runtime';
+import type * as net from 'node:net';
 import type * as undici from 'undici';
-import type * as bodyBudget from './body-budget.js';
+import * as bodyBuffer from './body-buffer.js';
+import * as bodyMemory from './body-memory.js';
+import * as framingLimit from './framing-limit.js';
 import * as httpHeaders from './http-headers.js';
 
 /** Larger responses fail the exchange, which bounds memory use. */
@@ -55,16 +58,18 @@
   private headers: protocol.HeaderList = [];
   private lengthDelimited = false;
   private connectionClose = false;
-  private chunks: Uint8Array[] = [];
-  private receivedBytes = 0;
+  /** Null until the response head has arrived. */
+  private body: bodyBuffer.BodyBuffer | null = null;
+  /** Value of the socket's counter of received bytes before this response. */
+  private bytesReadBefore = 0;
   private interimResponses = 0;
   private settled = false;
   private failure: Error | null = null;
 
   constructor(
-    private readonly socketFailed: () => boolean,
+    private readonly socket: () => net.Socket | null,
     private readonly releaseConnection: (reusable: boolean) => void,
-    private readonly budget: bodyBudget.BodyBudget,
+    private readonly memory: bodyMemory.BodyMemory,
   ) {
     this.result = new Promise(resolve => {
       this.resolve = resolve;
@@ -111,6 +116,7 @@
       );
     }
     if (this.failure) controller.abort(this.failure);
+    this.bytesReadBefore = this.socket()?.bytesRead ?? 0;
   }
 
   onResponseStart(
@@ -125,10 +131,15 @@
     const headers = httpHeaders.pairRawHeaders(
       controller.rawHeaders as Array<string | Uint8Array>,
     );
+    const declaredBytes = httpHeaders.declaredLength(headers);
+    this.body = new bodyBuffer.BodyBuffer(
+      this.memory.open(error => this.fail(error)),
+      declaredBytes,
+    );
     this.lengthDelimited =
       status === 204 ||
       status === 304 ||
-      httpHeaders.declaredLength(headers) !== null ||
+      declaredBytes !== null ||
       httpHeaders.headerValue(headers, 'transfer-encoding') !== null;
     this.connectionClose =
       httpHeaders
@@ -142,19 +153,13 @@
     _controller: undici.Dispatcher.DispatchController,
     chunk: Buffer,
   ): void {
-    if (this.settled) return;
-    if (!this.budget.tryReserve(chunk.length)) {
-      this.fail(
-        new runtime.ConnectionError(
-          'Incomplete responses use the whole buffer budget. Send fewer ' +
-            'requests at once, and check whether a backend server sends an ' +
-            'endless response.',
-        ),
-      );
+    if (this.settled || !this.body) return;
+    if (!this.body.append(chunk)) {
+      this.fail(bodyMemory.memoryError());
       return;
     }
-    this.receivedBytes += chunk.length;
-    if (this.receivedBytes > MAXIMUM_RESPONSE_BYTES) {
+    const payloadBytes = this.body.length;
+    if (payloadBytes > MAXIMUM_RESPONSE_BYTES) {
       this.fail(
         new runtime.ProtocolError(
           `The response exceeds ${MAXIMUM_RESPONSE_BYTES} bytes. Let the ` +
@@ -163,14 +168,22 @@
       );
       return;
     }
-    this.chunks.push(chunk);
+    const wireBytes = (this.socket()?.bytesRead ?? 0) - this.bytesReadBefore;
+    if (framingLimit.isFramingExcessive(payloadBytes, wireBytes)) {
+      this.fail(
+        new runtime.ProtocolError(
+          'The response arrives in chunks of a few bytes. Let the backend ' +
+            'server send larger chunks.',
+        ),
+      );
+    }
   }
 
   onResponseEnd(): void {
-    if (this.settled) return;
+    if (this.settled || !this.body) return;
     // For a response with `connection: close`, undici treats a connection reset
     // as the end of the body, even when the response is incomplete.
-    if (this.socketFailed()) {
+    if (this.socket()?.errored != null) {
       this.fail(
         new runtime.ConnectionError(
           'The backend server reset the connection during its response.',
@@ -188,10 +201,8 @@
       );
       return;
     }
-    this.settle();
-    // A single chunk is not copied; it may be a view of a larger read buffer.
-    const body =
-      this.chunks.length === 1 ? this.chunks[0] : Buffer.concat(this.chunks);
+    this.settled = true;
+    const body = this.body.take();
     this.releaseConnection(!this.connectionClose);
     this.resolve({
       kind: 'answer',
@@ -225,15 +236,10 @@
     );
   }
 
-  /** The reader now owns the response, so its buffer budget is released. */
-  private settle(): void {
-    this.settled = true;
-    this.budget.release(this.receivedBytes);
-  }
-
   private fail(error: Error): void {
     if (this.settled) return;
-    this.settle();
+    this.settled = true;
+    this.body?.clear();
     this.failure = error;
     this.resolve({kind: this.controller ? 'lost' : 'notSent', error});
     this.controller?.abort(error);
--- a/packages/transport/src/call-table.ts
+++ b/packages/transport/src/call-table.ts
@@ -1,6 +1,6 @@
 import type * as protocol from '@camphorwharf/protocol';
 import * as runtime from '@camphorwharf/runtime';
-import type * as bodyBudget from './body-budget.js';
+import type * as bodyMemory from './body-memory.js';
 import type * as frameWriter from './frame-writer.js';
 import * as incomingExchange from './incoming-exchange.js';
 import * as outgoingExchange from './outgoing-exchange.js';
@@ -12,7 +12,7 @@
 
 export interface CallTableOptions {
   readonly writer: frameWriter.FrameWriter;
-  readonly budget: bodyBudget.BodyBudget;
+  readonly memory: bodyMemory.BodyMemory;
   /** Whether this end opened the connection. */
   readonly initiator: boolean;
   readonly onCall: (call: peer.IncomingCall) => Promise<void>;
@@ -57,10 +57,10 @@
   constructor(private readonly options: CallTableOptions) {
     this.lastOutgoingId = options.initiator ? -1 : 0;
     this.lastIncomingId = options.initiator ? 0 : -1;
-    const {budget, writer} = options;
+    const {memory, writer} = options;
     this.outgoingContext = {
       writer,
-      budget,
+      memory,
       onFinished: (call: number) => {
         this.outgoing.delete(call);
         this.notifyIdle();
@@ -68,7 +68,7 @@
     };
     this.incomingContext = {
       writer,
-      budget,
+      memory,
       onFinished: (call: number) => {
         this.incoming.delete(call);
         this.notifyIdle();
--- a/packages/transport/src/exchange-context.ts
+++ b/packages/transport/src/exchange-context.ts
@@ -1,10 +1,10 @@
-import type * as bodyBudget from './body-budget.js';
+import type * as bodyMemory from './body-memory.js';
 import type * as frameWriter from './frame-writer.js';
 
 /** The parts of a connection that its calls use. */
 export interface ExchangeContext {
   readonly writer: frameWriter.FrameWriter;
-  readonly budget: bodyBudget.BodyBudget;
+  readonly memory: bodyMemory.BodyMemory;
   /** Called once, when no further frame of the call is expected. */
   readonly onFinished: (call: number) => void;
 }
--- a/packages/transport/src/incoming-exchange.ts
+++ b/packages/transport/src/incoming-exchange.ts
@@ -25,7 +25,7 @@
       ? new bodyQueue.BodyQueue({
           declaredBytes: head.contentLength,
           windowBytes: bodySender.INITIAL_CREDIT_BYTES,
-          budget: context.budget,
+          memory: context.memory,
           onConsumed: exchangeContext.createCreditUpdater(
             context,
             head.call,
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -1,6 +1,10 @@
+export {BodyBuffer} from './body-buffer.js';
+export {BodyMemory, memoryError} from './body-memory.js';
+export type {MemoryReservation} from './body-memory.js';
 export {confirmNeverStarts} from './call-cancellation.js';
 export type {LostCall} from './call-cancellation.js';
 export {untilInputRead} from './connection-close.js';
+export {isFramingExcessive} from './framing-limit.js';
 export {PeerConnection} from './peer-connection.js';
 export type * from './peer-interfaces.js';
 export {PeerListener} from './peer-listener.js';
--- a/packages/transport/src/outgoing-exchange.ts
+++ b/packages/transport/src/outgoing-exchange.ts
@@ -72,7 +72,7 @@
     const responseBody = new bodyQueue.BodyQueue({
       declaredBytes: frame.contentLength,
       windowBytes: bodySender.INITIAL_CREDIT_BYTES,
-      budget: this.context.budget,
+      memory: this.context.memory,
       onConsumed: exchangeContext.createCreditUpdater(
         this.context,
         this.id,
--- a/packages/transport/src/peer-connection.ts
+++ b/packages/transport/src/peer-connection.ts
@@ -1,7 +1,7 @@
 import type * as net from 'node:net';
 import * as protocol from '@camphorwharf/protocol';
 import * as runtime from '@camphorwharf/runtime';
-import * as bodyBudget from './body-budget.js';
+import * as bodyMemory from './body-memory.js';
 import * as callTable from './call-table.js';
 import * as connectionClose from './connection-close.js';
 import * as connectionTelemetry from './connection-telemetry.js';
@@ -54,7 +54,7 @@
     this.heartbeats = new heartbeatState.HeartbeatState(clock.monotonicMs());
     this.calls = new callTable.CallTable({
       writer: this.writer,
-      budget: new bodyBudget.BodyBudget(options.maximumBufferedBytes),
+      memory: options.bodyMemory ?? new bodyMemory.BodyMemory(),
       initiator,
       onCall: call => handler.onCall(call, this),
       onDropped: cause => this.telemetry.countDroppedFrame(cause),
--- a/packages/transport/src/peer-options.ts
+++ b/packages/transport/src/peer-options.ts
@@ -1,5 +1,6 @@
 import type * as protocol from '@camphorwharf/protocol';
 import type * as runtime from '@camphorwharf/runtime';
+import type * as bodyMemory from './body-memory.js';
 import type * as peer from './peer-interfaces.js';
 
 /** Interval at which both ends send heartbeats. */
@@ -45,8 +46,11 @@
   /** Phase offset that spreads the heartbeats of different processes. */
   readonly heartbeatPhaseMs?: number;
   readonly handshakeTimeoutMs?: number;
-  /** Limit for unread body bytes of all calls on a connection. */
-  readonly maximumBufferedBytes?: number;
+  /**
+   * Bounds the unread bytes of all bodies of the process; if absent, those of
+   * each connection.
+   */
+  readonly bodyMemory?: bodyMemory.BodyMemory;
 }
 
 /** Why a connection ended; counted by reason. */
--- a/packages/transport/src/platform-client.ts
+++ b/packages/transport/src/platform-client.ts
@@ -1,5 +1,6 @@
 import * as runtime from '@camphorwharf/runtime';
 import * as undici from 'undici';
+import * as bodyBuffer from './body-buffer.js';
 
 /** Size limit of the published document. */
 const MAXIMUM_DOCUMENT_BYTES = 1024 * 1024;
@@ -152,15 +153,14 @@
   body: AsyncIterable<Uint8Array>,
   maximumBytes: number,
 ): Promise<string> {
-  const chunks: Uint8Array[] = [];
-  let bytes = 0;
+  const buffer = new bodyBuffer.BodyBuffer(null);
+  // Escapes can double the size of a document inside a JSON string.
+  const limitBytes = 2 * maximumBytes + ENVELOPE_BYTES;
   for await (const chunk of body) {
-    bytes += chunk.length;
-    // Escapes can double the size of a document inside a JSON string.
-    if (bytes > 2 * maximumBytes + ENVELOPE_BYTES) throw tooLarge(maximumBytes);
-    chunks.push(chunk);
+    buffer.append(chunk);
+    if (buffer.length > limitBytes) throw tooLarge(maximumBytes);
   }
-  return Buffer.concat(chunks).toString('utf8');
+  return buffer.takeText();
 }
 
 function parseValue(
--- a/packages/transport/src/test/buffered-exchange-fixture.ts
+++ b/packages/transport/src/test/buffered-exchange-fixture.ts
@@ -1,5 +1,6 @@
 import * as net from 'node:net';
 import type * as ava from 'ava';
+import type * as bodyMemory from '../body-memory.js';
 import * as bufferedExchangeClient from '../buffered-exchange-client.js';
 
 export const REQUEST = {
@@ -13,7 +14,7 @@
 
 export interface ClientLimits {
   readonly maximumConnections: number;
-  readonly maximumBufferedBytes?: number;
+  readonly bodyMemory?: bodyMemory.BodyMemory;
 }
 
 /** Starts `server` and a client for it; both close at the end of the test. */
@@ -28,7 +29,7 @@
     port: (server.address() as net.AddressInfo).port,
     nowMs: () => 0,
     maximumConnections: () => limits.maximumConnections,
-    maximumBufferedBytes: limits.maximumBufferedBytes,
+    bodyMemory: limits.bodyMemory,
   });
   t.teardown(() => {
     client.destroy();
--- a/packages/transport/src/test/buffered_exchange_test.ts
+++ b/packages/transport/src/test/buffered_exchange_test.ts
@@ -1,5 +1,6 @@
 import * as net from 'node:net';
 import test from 'ava';
+import * as bodyMemory from '../body-memory.js';
 import * as fixture from './buffered-exchange-fixture.js';
 
 const BUFFERED_BYTES = 1024 * 1024;
@@ -51,7 +52,7 @@
     });
     const client = await fixture.startClient(t, server, {
       maximumConnections: 4,
-      maximumBufferedBytes: BUFFERED_BYTES,
+      bodyMemory: new bodyMemory.BodyMemory(BUFFERED_BYTES),
     });
     const exchanges = Array.from({length: 4}, () =>
       client.send(fixture.REQUEST),
@@ -76,7 +77,7 @@
   );
   const client = await fixture.startClient(t, server, {
     maximumConnections: 1,
-    maximumBufferedBytes: BUFFERED_BYTES,
+    bodyMemory: new bodyMemory.BodyMemory(BUFFERED_BYTES),
   });
   for (let index = 0; index < 6; index++) {
     t.is((await client.send(fixture.REQUEST).result).kind, 'answer');
--- a/packages/transport/src/test/peer_flow_test.ts
+++ b/packages/transport/src/test/peer_flow_test.ts
@@ -2,6 +2,7 @@
 import * as runtime from '@camphorwharf/runtime';
 import test from 'ava';
 import * as transport from '../index.js';
+import * as bodyMemory from '../body-memory.js';
 import * as fixture from './peer-fixture.js';
 
 const BODY_BYTES = 20 * 1024 * 1024;
@@ -150,7 +151,7 @@
         call.refuse('overloaded', false, fixture.TRAILER);
       },
     },
-    {maximumBufferedBytes: 5},
+    {bodyMemory: new bodyMemory.BodyMemory(5)},
   );
   const calls = ['abc', 'def', 'gh'].map(text =>
     pair.caller.call(
