Let every request to stop wait for the same stop

Cause: HostDaemon.stop returned a resolved promise while a stop was running, and main exits when it resolves. SIGINT and SIGTERM share the handler.

Change: GracefulStop owns the stop; it has one promise for all requests. It is moved out of host-daemon.ts.

--- /dev/null
+++ b/packages/host-daemon/src/graceful-stop.ts
@@ -0,0 +1,56 @@
+import type * as runtime from '@camphorwharf/runtime';
+import type * as stopSchedule from './stop-schedule.js';
+
+/** Interval at which a stop checks whether all work is done. */
+const CHECK_INTERVAL_MS = 20;
+
+export interface GracefulStopOptions {
+  readonly clock: Pick<runtime.Clock, 'delay' | 'monotonicMs'>;
+  readonly logger: Pick<runtime.Logger, 'info'>;
+  readonly schedule: stopSchedule.StopSchedule;
+  /** Number of requests of clients without a complete response. */
+  readonly clientRequests: () => number;
+  /** Refuses calls of peers; resolves when no accepted connection has any. */
+  readonly untilPeersIdle: () => Promise<void>;
+  /** Tells clients and peers that this host is leaving. */
+  readonly announce: () => void;
+  /** Closes all connections. */
+  readonly close: () => void;
+}
+
+/** Ends the work of a daemon, once, however often a stop is requested. */
+export class GracefulStop {
+  private running: Promise<void> | null = null;
+
+  constructor(private readonly options: GracefulStopOptions) {}
+
+  /** Resolves when all connections are closed. */
+  run(): Promise<void> {
+    this.running ??= this.stop();
+    return this.running;
+  }
+
+  private async stop(): Promise<void> {
+    const {announce, clientRequests, clock, close, logger, schedule} =
+      this.options;
+    let arePeersIdle = false;
+    const startedMs = clock.monotonicMs();
+    schedule.begin(startedMs);
+    const {endMs, refuseFromMs} = schedule;
+    logger.info('daemon-stopping', {running: clientRequests()});
+    announce();
+    await clock.delay(refuseFromMs - startedMs);
+    void this.options.untilPeersIdle().then(() => (arePeersIdle = true));
+    while (
+      (clientRequests() > 0 || !arePeersIdle) &&
+      clock.monotonicMs() < endMs
+    ) {
+      await clock.delay(CHECK_INTERVAL_MS);
+    }
+    logger.info('daemon-stopped', {
+      cut: clientRequests(),
+      afterMs: Math.round(clock.monotonicMs() - startedMs),
+    });
+    close();
+  }
+}
--- a/packages/host-daemon/src/host-daemon.ts
+++ b/packages/host-daemon/src/host-daemon.ts
@@ -12,6 +12,7 @@
 import * as requestLogger from './request-logger.js';
 import * as peerReporter from './peer-reporter.js';
 import * as fleetState from './fleet-state.js';
+import * as gracefulStop from './graceful-stop.js';
 import type * as hostDaemonOptions from './host-daemon-options.js';
 import * as localTarget from './local-target.js';
 import * as localTargetState from './local-target-state.js';
@@ -28,9 +29,6 @@
 /** Connections to the backend server beyond its number of slots. */
 const EXTRA_CONNECTIONS = 8;
 
-/** Interval at which a stop checks whether all requests are answered. */
-const STOP_CHECK_INTERVAL_MS = 20;
-
 /** The daemon of one host: wiring, readiness and graceful shutdown. */
 export class HostDaemon {
   private readonly shutdown = new AbortController();
@@ -47,6 +45,7 @@
   private readonly server: callerHttpServer.CallerHttpServer;
   private readonly statusServers: http.Server[] = [];
   private readonly stopSchedule: stopSchedule.StopSchedule;
+  private readonly gracefulStop: gracefulStop.GracefulStop;
 
   constructor(private readonly options: hostDaemonOptions.HostDaemonOptions) {
     const {clock, logger, metrics, random, settings} = options;
@@ -199,6 +198,18 @@
       bodyMemory: memory.received,
       handler: request => handler.handle(request),
     });
+    this.gracefulStop = new gracefulStop.GracefulStop({
+      clock,
+      logger,
+      schedule: this.stopSchedule,
+      clientRequests: () => this.server.runningCount,
+      untilPeersIdle: () => this.listener.closeWhenIdle(),
+      announce: () => {
+        this.server.startDraining();
+        this.reporter.announceLeaving();
+      },
+      close: () => this.close(),
+    });
   }
 
   /** Opens the ports and starts the tasks. Throws if a port is in use. */
@@ -253,30 +264,12 @@
     this.options.logger.info('settings-reloaded', {drainMs: settings.drainMs});
   }
 
-  /** Shuts down gracefully. Resolves when the process may exit. */
-  async stop(): Promise<void> {
-    if (this.stopSchedule.stopping) return;
-    const {clock, logger} = this.options;
-    const startedMs = clock.monotonicMs();
-    this.stopSchedule.begin(startedMs);
-    const {endMs, refuseFromMs} = this.stopSchedule;
-    logger.info('daemon-stopping', {running: this.server.runningCount});
-    this.server.startDraining();
-    this.reporter.announceLeaving();
-    await clock.delay(refuseFromMs - clock.monotonicMs());
-    let arePeersIdle = false;
-    void this.listener.closeWhenIdle().then(() => (arePeersIdle = true));
-    while (
-      (this.server.runningCount > 0 || !arePeersIdle) &&
-      clock.monotonicMs() < endMs
-    ) {
-      await clock.delay(STOP_CHECK_INTERVAL_MS);
-    }
-    logger.info('daemon-stopped', {
-      cut: this.server.runningCount,
-      afterMs: Math.round(clock.monotonicMs() - startedMs),
-    });
-    this.close();
+  /**
+   * Shuts down gracefully. Resolves when the process may exit, for each of
+   * several requests to stop at the same time.
+   */
+  stop(): Promise<void> {
+    return this.gracefulStop.run();
   }
 
   /** Closes all connections and servers immediately. */
--- a/packages/host-daemon/src/test/host-daemon-stop_test.ts
+++ b/packages/host-daemon/src/test/host-daemon-stop_test.ts
@@ -49,6 +49,29 @@
   fixture.close();
 });
 
+test('each request to stop resolves once running requests are answered', async t => {
+  // Guards against a second SIGTERM that ends the process at once and cuts all
+  // requests: the platform sends one for the daemon and one for its target.
+  const fixture = await helpers.startFleet(1, {idempotent: false});
+  const [host] = fixture.hosts;
+  host.handler = (request, response) =>
+    void setTimeout(
+      () => fixtures.sendValidResponse(request, response, 'whole'),
+      800,
+    );
+  const events: string[] = [];
+  const running = fixture
+    .request(host, '/parts/7')
+    .then(({body}) => events.push(body));
+  await helpers.waitUntil(() => host.received.length > 0);
+  const stops = ['first', 'second'].map(name =>
+    host.daemon.stop().then(() => events.push(name)),
+  );
+  await Promise.all([running, ...stops]);
+  fixture.close();
+  t.deepEqual(events, ['whole', 'first', 'second']);
+});
+
 test('an upload that ends late in a stop is not forwarded', async t => {
   // Guards against a request that is read in time, forwarded when its body has
   // arrived, and cut off at the end of the stop.
