Wait for the calls of peers in a stop, whoever opened the connection

Cause: a stop waited until the accepted peer connections were idle. Two daemons share one connection, which the one with the lower address opens, so calls that came over a connection of its own were not waited for.

Change: the stop counts the thing itself: calls of peers without a result, in PeerRequestHandler, beside the requests of clients. Peer connections stay open until both are zero or the stop reaches its limit, so nested calls and the responses of peers find them. The log of a stop tells both numbers.

--- a/packages/host-daemon/src/graceful-stop.ts
+++ b/packages/host-daemon/src/graceful-stop.ts
@@ -10,8 +10,8 @@
   readonly schedule: stopSchedule.StopSchedule;
   /** Number of requests of clients without a complete response. */
   readonly clientRequests: () => number;
-  /** Refuses calls of peers; resolves when no accepted connection has any. */
-  readonly untilPeersIdle: () => Promise<void>;
+  /** Number of calls of peers without a result, over whichever connection. */
+  readonly peerCalls: () => number;
   /** Tells clients and peers that this host is leaving. */
   readonly announce: () => void;
   /** Closes all connections. */
@@ -30,25 +30,29 @@
     return this.running;
   }
 
+  private get hasWork(): boolean {
+    const {clientRequests, peerCalls} = this.options;
+    return clientRequests() > 0 || peerCalls() > 0;
+  }
+
   private async stop(): Promise<void> {
-    const {announce, clientRequests, clock, close, logger, schedule} =
-      this.options;
-    let arePeersIdle = false;
+    const {announce, clientRequests, clock, close, logger} = this.options;
+    const {peerCalls, schedule} = this.options;
     const startedMs = clock.monotonicMs();
     schedule.begin(startedMs);
     const {endMs, refuseFromMs} = schedule;
-    logger.info('daemon-stopping', {running: clientRequests()});
+    logger.info('daemon-stopping', {
+      running: clientRequests(),
+      peerCalls: peerCalls(),
+    });
     announce();
     await clock.delay(refuseFromMs - startedMs);
-    void this.options.untilPeersIdle().then(() => (arePeersIdle = true));
-    while (
-      (clientRequests() > 0 || !arePeersIdle) &&
-      clock.monotonicMs() < endMs
-    ) {
+    while (this.hasWork && clock.monotonicMs() < endMs) {
       await clock.delay(CHECK_INTERVAL_MS);
     }
     logger.info('daemon-stopped', {
       cut: clientRequests(),
+      cutPeerCalls: peerCalls(),
       afterMs: Math.round(clock.monotonicMs() - startedMs),
     });
     close();
--- a/packages/host-daemon/src/host-daemon.ts
+++ b/packages/host-daemon/src/host-daemon.ts
@@ -100,6 +100,15 @@
     });
     const {local} = this;
     const phaseMs = random.next() * peerTiming.PEER_HEARTBEAT_MS;
+    const peerHandler = new peerRequestHandler.PeerRequestHandler({
+      clock,
+      service: settings.service,
+      incarnation,
+      local,
+      stopSchedule: this.stopSchedule,
+      startedCalls: new ownership.CallRegister(),
+      reporter: () => this.reporter,
+    });
     const peerOptions = {
       clock,
       logger,
@@ -116,15 +125,7 @@
         service: settings.service,
         availabilityZone: settings.availabilityZone,
       },
-      handler: new peerRequestHandler.PeerRequestHandler({
-        clock,
-        service: settings.service,
-        incarnation,
-        local,
-        stopSchedule: this.stopSchedule,
-        startedCalls: new ownership.CallRegister(),
-        reporter: () => this.reporter,
-      }),
+      handler: peerHandler,
     };
     this.pool = new transport.PeerPool(peerOptions);
     this.listener = new transport.PeerListener(peerOptions);
@@ -203,7 +204,7 @@
       logger,
       schedule: this.stopSchedule,
       clientRequests: () => this.server.runningCount,
-      untilPeersIdle: () => this.listener.closeWhenIdle(),
+      peerCalls: () => peerHandler.runningCalls,
       announce: () => {
         this.server.startDraining();
         this.reporter.announceLeaving();
--- a/packages/host-daemon/src/peer-request-handler.ts
+++ b/packages/host-daemon/src/peer-request-handler.ts
@@ -34,9 +34,25 @@
  * and streams their responses.
  */
 export class PeerRequestHandler implements transport.PeerHandler {
+  private running = 0;
+
   constructor(private readonly options: PeerRequestHandlerOptions) {}
 
+  /** Number of calls whose result has not been sent yet. */
+  get runningCalls(): number {
+    return this.running;
+  }
+
   async onCall(call: transport.IncomingCall): Promise<void> {
+    this.running++;
+    try {
+      await this.handleCall(call);
+    } finally {
+      this.running--;
+    }
+  }
+
+  private async handleCall(call: transport.IncomingCall): Promise<void> {
     const {clock, local, startedCalls, service} = this.options;
     const {head} = call;
     if (!call.permissionValid || head.service !== service || !head.instance) {
--- a/packages/host-daemon/src/test/fleet-fixture.ts
+++ b/packages/host-daemon/src/test/fleet-fixture.ts
@@ -164,6 +164,8 @@
       readonly headers?: Readonly<Record<string, string>>;
       readonly body?: string;
       readonly signal?: AbortSignal;
+      /** Sends no key, like a backend server. */
+      readonly withoutKey?: boolean;
     } = {},
   ): Promise<FixtureResponse> {
     return new Promise((resolve, reject) => {
@@ -179,7 +181,7 @@
             'host': 'shop.example',
             'x-request': 'request-1',
             'x-remaining': '3000',
-            'authorization': 'Key key-1',
+            ...(options.withoutKey ? {} : {authorization: 'Key key-1'}),
             ...options.headers,
           },
         },
--- a/packages/host-daemon/src/test/host-daemon-stop_test.ts
+++ b/packages/host-daemon/src/test/host-daemon-stop_test.ts
@@ -162,3 +162,95 @@
     );
   });
 }
+
+interface PeerCallCase {
+  /** Positions of the hosts; that with the lower address opens connections. */
+  readonly entry: number;
+  readonly target: number;
+  /** Hosts that stop, in this order. */
+  readonly stopping: ReadonlyArray<'entry' | 'target'>;
+  /** Whether the backend server sends a request of its own late in the stop. */
+  readonly isNested?: boolean;
+}
+
+const PEER_CALL_WORK_MS = 3_400;
+const NESTED_AFTER_MS = 3_000;
+
+/** Guards against calls of peers that a stop cuts while they run. */
+const PEER_CALLS: Readonly<Record<string, PeerCallCase>> = {
+  'the target, over a connection that it accepted': {
+    entry: 0,
+    target: 1,
+    stopping: ['target'],
+  },
+  'the target, over a connection that it opened': {
+    entry: 1,
+    target: 0,
+    stopping: ['target'],
+  },
+  'the entry': {entry: 1, target: 0, stopping: ['entry']},
+  'the entry, then the target': {
+    entry: 1,
+    target: 0,
+    stopping: ['entry', 'target'],
+  },
+  'the target, then the entry': {
+    entry: 0,
+    target: 1,
+    stopping: ['target', 'entry'],
+  },
+  'the target, whose backend server needs another one': {
+    entry: 1,
+    target: 0,
+    stopping: ['target'],
+    isNested: true,
+  },
+};
+for (const [name, peerCallCase] of Object.entries(PEER_CALLS)) {
+  test(`a call of a peer is completed when a host stops: ${name}`, async t => {
+    const fixture = await helpers.startFleet(2, {
+      idempotent: false,
+      isPublic: true,
+      timeoutMs: 5_000,
+    });
+    const entry = fixture.hosts[peerCallCase.entry];
+    const target = fixture.hosts[peerCallCase.target];
+    fixture.listServers([target]);
+    const nestedStatuses: number[] = [];
+    target.handler = (request, response) => {
+      if (request.url === '/parts/nested') {
+        fixtures.sendValidResponse(request, response, 'nested');
+        return;
+      }
+      if (peerCallCase.isNested) {
+        setTimeout(() => {
+          fixture.listServers([entry]);
+          void fixture
+            .request(target, '/parts/nested', {
+              headers: {'x-request': 'nested'},
+              withoutKey: true,
+            })
+            .then(({status}) => nestedStatuses.push(status));
+        }, NESTED_AFTER_MS);
+      }
+      setTimeout(
+        () => fixtures.sendValidResponse(request, response, 'whole'),
+        PEER_CALL_WORK_MS,
+      );
+    };
+    const running = fixture.request(entry, '/parts/7', {
+      headers: {'x-remaining': '5000'},
+    });
+    await helpers.waitUntil(() => target.received.length > 0);
+    const hosts = {entry, target};
+    const stops: Array<Promise<void>> = [];
+    for (const role of peerCallCase.stopping) {
+      stops.push(hosts[role].daemon.stop());
+      await new Promise(resolve => setTimeout(resolve, 100));
+    }
+    t.is((await running).body, 'whole');
+    await Promise.all(stops);
+    fixture.close();
+    t.deepEqual(nestedStatuses, peerCallCase.isNested ? [200] : []);
+  });
+}
