Keep informing a daemon whose backend server has left the list

Cause: who reports to whom followed from the list of backend servers. From the removal of its server on, nobody reported to a daemon, told it of changes or counted its use of the limits, while it went on serving its clients. Cut off from the platform, it was the last to know.

Change: FleetMembers keeps the hosts that still report after they have left the list, until they are silent. Reports, rate limits and the distribution of published state all use this set; relays inform the unlisted hosts of their zone. Readers and relays are still chosen from the list alone (DistributionPlanner keeps the zones of unlisted hosts).

--- a/packages/fleet-limits/src/fleet-members.ts
+++ b/packages/fleet-limits/src/fleet-members.ts
@@ -17,10 +17,16 @@
  * Tracks the hosts of the fleet and which of them have reported recently. The
  * part of a limit that this host may use is reduced in proportion to the hosts
  * that are silent.
+ *
+ * A host is listed through its backend server, but its daemon may run before
+ * the list names it and for longer than the list does. Such a host belongs to
+ * the fleet while it reports.
  */
 export class FleetMembers {
   private readonly lastReportMs = new Map<string, number>();
   private readonly listedSinceMs = new Map<string, number>();
+  /** Hosts that report and are not listed. */
+  private readonly unlisted = new Set<string>();
   private hasHostList = false;
   /** Cached result of `reportingShare`, which visits every host. */
   private cachedShare: {readonly atMs: number; readonly share: number} | null =
@@ -48,20 +54,35 @@
     for (const host of this.listedSinceMs.keys()) {
       if (!hosts.has(host)) this.listedSinceMs.delete(host);
     }
-    for (const host of this.lastReportMs.keys()) {
-      if (!hosts.has(host)) this.lastReportMs.delete(host);
-    }
+    for (const host of this.lastReportMs.keys()) this.updateUnlisted(host);
+    this.removeSilentUnlisted(nowMs);
     return added;
   }
 
   noteReport(host: string, nowMs: number): void {
-    if (!this.listedSinceMs.has(host)) return;
     this.lastReportMs.set(host, nowMs);
+    if (!this.listedSinceMs.has(host)) this.updateUnlisted(host);
+  }
+
+  /** Forgets the hosts that are neither listed nor report any longer. */
+  removeSilentUnlisted(nowMs: number): void {
+    for (const host of this.unlisted) {
+      if (!this.isSilent(host, nowMs)) continue;
+      this.unlisted.delete(host);
+      this.lastReportMs.delete(host);
+      this.cachedShare = null;
+    }
+  }
+
+  /** Hosts that are not listed although their daemons report. */
+  get unlistedHosts(): ReadonlySet<string> {
+    return this.unlisted;
   }
 
-  /** Number of listed hosts, including this one. */
+  /** Number of hosts of the fleet, including this one. */
   get count(): number {
-    return this.listedSinceMs.size + (this.isOwnHostListed ? 0 : 1);
+    const others = this.listedSinceMs.size + this.unlisted.size;
+    return others + (this.isOwnHostListed ? 0 : 1);
   }
 
   /**
@@ -83,15 +104,15 @@
 
   isSilent(host: string, nowMs: number): boolean {
     if (host === this.ownHost) return false;
-    const listedMs = this.listedSinceMs.get(host);
-    if (listedMs === undefined) return false;
     const reportMs = this.lastReportMs.get(host);
     if (reportMs !== undefined) return nowMs - reportMs >= this.reportTimeoutMs;
-    return nowMs - listedMs >= JOIN_GRACE_MS;
+    const listedMs = this.listedSinceMs.get(host);
+    return listedMs !== undefined && nowMs - listedMs >= JOIN_GRACE_MS;
   }
 
-  isListed(host: string): boolean {
-    return this.listedSinceMs.has(host);
+  /** Whether a host is listed or reports. */
+  isMember(host: string): boolean {
+    return this.listedSinceMs.has(host) || this.unlisted.has(host);
   }
 
   /**
@@ -107,6 +128,13 @@
     return share;
   }
 
+  private updateUnlisted(host: string): void {
+    if (host === this.ownHost) return;
+    if (this.listedSinceMs.has(host)) this.unlisted.delete(host);
+    else this.unlisted.add(host);
+    this.cachedShare = null;
+  }
+
   private get reportTimeoutMs(): number {
     return Math.max(
       MINIMUM_REPORT_TIMEOUT_MS,
--- a/packages/fleet-limits/src/fleet-rate-limits.ts
+++ b/packages/fleet-limits/src/fleet-rate-limits.ts
@@ -189,10 +189,11 @@
 
   /** Detects hosts that have become silent; called about once per second. */
   tick(nowMs: number): void {
+    this.fleet.removeSilentUnlisted(nowMs);
     for (const [host, reporter] of this.reporters) {
-      // A host that has been removed from the list has no further use. Its
-      // counts are kept, so that its use is not debited twice if it returns.
-      if (this.fleet.isListed(host)) {
+      // A host that has left the fleet has no further use. Its counts are kept,
+      // so that its use is not debited twice if it returns.
+      if (this.fleet.isMember(host)) {
         if (!this.fleet.isSilent(host, nowMs)) continue;
         if (reporter.silentSinceMs !== null) continue;
         reporter.silentSinceMs = nowMs;
--- a/packages/fleet-limits/src/test/fleet-members_test.ts
+++ b/packages/fleet-limits/src/test/fleet-members_test.ts
@@ -68,3 +68,48 @@
     t.is(fleet.isSilent('host-2', 10_000 + silentMs), expected);
   });
 }
+
+/** Guards against forgetting a host whose daemon outlives its list entry. */
+interface UnlistedCase {
+  /** Times of the reports of host-2, which leaves the list at 10 s. */
+  readonly reportsMs: readonly number[];
+  readonly atMs: number;
+  readonly isMember: boolean;
+}
+const UNLISTED: Readonly<Record<string, UnlistedCase>> = {
+  'that still reports': {
+    reportsMs: [9_800, 10_300, 10_800],
+    atMs: 11_500,
+    isMember: true,
+  },
+  'that no longer reports': {
+    reportsMs: [9_800],
+    atMs: 11_500,
+    isMember: false,
+  },
+  'that has never reported': {reportsMs: [], atMs: 10_000, isMember: false},
+  'that reports again after a silence': {
+    reportsMs: [9_800, 20_000],
+    atMs: 20_500,
+    isMember: true,
+  },
+};
+for (const [name, {reportsMs, atMs, isMember}] of Object.entries(UNLISTED)) {
+  test(`a host ${name} after it has left the list`, t => {
+    const fleet = new members.FleetMembers(OWN);
+    fleet.setListed(new Set([OWN, 'host-2', 'host-3']), 0);
+    const events: Array<readonly [number, () => void]> = [
+      [10_000, () => fleet.setListed(new Set([OWN, 'host-3']), 10_000)],
+    ];
+    for (const reportMs of reportsMs) {
+      events.push([reportMs, () => fleet.noteReport('host-2', reportMs)]);
+    }
+    events.sort(([left], [right]) => left - right);
+    for (const [, apply] of events) apply();
+    fleet.removeSilentUnlisted(atMs);
+    t.is(fleet.isMember('host-2'), isMember);
+    t.is(fleet.unlistedHosts.has('host-2'), isMember);
+    t.is(fleet.count, isMember ? 3 : 2);
+    t.is(fleet.silentCount(atMs), 1, 'an unlisted host is not missed');
+  });
+}
--- a/packages/host-daemon/src/host-daemon.ts
+++ b/packages/host-daemon/src/host-daemon.ts
@@ -8,10 +8,10 @@
 import * as bodyMemory from './body-memory.js';
 import * as callerHttpServer from './caller-http-server.js';
 import * as requestHandler from './request-handler.js';
-import * as readerSelection from './reader-selection.js';
 import * as requestLogger from './request-logger.js';
 import * as peerReporter from './peer-reporter.js';
 import * as fleetState from './fleet-state.js';
+import * as distributionPlanner from './distribution-planner.js';
 import * as gracefulStop from './graceful-stop.js';
 import type * as hostDaemonOptions from './host-daemon-options.js';
 import * as localTarget from './local-target.js';
@@ -35,6 +35,7 @@
   private readonly state: fleetState.FleetState;
   private readonly members: fleetLimits.FleetMembers;
   private readonly limits: fleetLimits.FleetRateLimits;
+  private readonly distribution: distributionPlanner.DistributionPlanner;
   private readonly loadBalancer: routing.TargetBalancer;
   private readonly targetState: localTargetState.LocalTargetState;
   private readonly local: localTarget.LocalTarget;
@@ -54,6 +55,10 @@
     const ownAddress = settings.callers.address;
     this.stopSchedule = new stopSchedule.StopSchedule(settings.stopLimitMs);
     this.members = new fleetLimits.FleetMembers(ownAddress);
+    this.distribution = new distributionPlanner.DistributionPlanner(
+      {address: ownAddress, availabilityZone: settings.availabilityZone},
+      this.members,
+    );
     this.limits = new fleetLimits.FleetRateLimits(this.members, nowMs, random);
     this.loadBalancer = new routing.TargetBalancer(
       ownAddress,
@@ -296,16 +301,14 @@
     const {directory} = this.state;
     this.targetState.update(directory, nowMs);
     this.loadBalancer.retain(instance => directory.get(instance) !== null);
+    const {members, reporter, state} = this;
     const hosts = directory.servers().map(server => ({
       address: server.hostAddress,
       availabilityZone: server.availabilityZone,
     }));
-    const {reporter, state} = this;
-    const {address: ownAddress} = this.options.settings.callers;
-    const role = readerSelection.distributionRole(ownAddress, hosts);
-    state.setDistributionRole(role);
     const addresses = new Set(hosts.map(({address}) => address));
-    const added = this.members.setListed(addresses, nowMs);
+    const added = members.setListed(addresses, nowMs);
+    state.setDistributionRole(this.distribution.roleAmong(hosts));
     // Newly discovered hosts exchange their rate limit usage immediately.
     reporter.greet(added);
     reporter.informDownstream();
--- a/packages/host-daemon/src/peer-reporter.ts
+++ b/packages/host-daemon/src/peer-reporter.ts
@@ -21,7 +21,10 @@
   readonly logger: runtime.Logger;
   readonly state: fleetState.FleetState;
   readonly limits: fleetLimits.FleetRateLimits;
-  readonly members: Pick<fleetLimits.FleetMembers, 'minimumReportIntervalMs'>;
+  readonly members: Pick<
+    fleetLimits.FleetMembers,
+    'isMember' | 'minimumReportIntervalMs' | 'unlistedHosts'
+  >;
   readonly loadBalancer: routing.TargetBalancer;
   /** Pressure of the local backend server and of its downstream services. */
   readonly load: () => protocol.ReportedLoad;
@@ -66,10 +69,14 @@
     this.stateFetcher = new peerStateFetcher.PeerStateFetcher(options);
   }
 
-  /** Hosts whose daemons this one sends reports to. */
+  /**
+   * Hosts whose daemons this one sends reports to. The daemon of a host whose
+   * backend server has left the list needs them as long as it runs: it may have
+   * no other way to learn that the server has left.
+   */
   peerHosts(): Set<string> {
-    const {ownAddress, state} = this.options;
-    const hosts = new Set<string>();
+    const {members, ownAddress, state} = this.options;
+    const hosts = new Set(members.unlistedHosts);
     for (const server of state.directory.servers()) {
       if (server.hostAddress !== ownAddress) hosts.add(server.hostAddress);
     }
@@ -200,11 +207,14 @@
 
   /** Tells the hosts that this one informs of its published state and contact. */
   informDownstream(): void {
-    const {downstream} = this.options.state.distributionRole;
+    const {clock, members, state} = this.options;
+    const {downstream} = state.distributionRole;
     if (downstream.size === 0) return;
-    this.lastInformedMs = this.options.clock.monotonicMs();
+    this.lastInformedMs = clock.monotonicMs();
     const report = this.buildReport(null);
-    for (const host of downstream) void this.sendTo(host, report);
+    for (const host of downstream) {
+      if (members.isMember(host)) void this.sendTo(host, report);
+    }
   }
 
   /** Sends a full report to hosts that have just been listed. */
--- a/packages/host-daemon/src/reader-selection.ts
+++ b/packages/host-daemon/src/reader-selection.ts
@@ -41,20 +41,30 @@
 };
 
 /**
- * Decides from the published list alone which hosts watch the platform and who
- * informs whom: readers inform the relays of every availability zone, relays
- * the hosts of their own zone. The number of calls to the platform is thus
- * independent of the size of the fleet, and a host informs as many others as
- * its zone has. Rendezvous hashing keeps most roles when the list changes.
+ * Decides which hosts watch the platform and who informs whom: readers inform
+ * the relays of every availability zone, relays the hosts of their own zone.
+ * The number of calls to the platform is thus independent of the size of the
+ * fleet, and a host informs as many others as its zone has. Rendezvous hashing
+ * keeps most roles when the list changes.
+ *
+ * Readers and relays are chosen from the published list alone, so that hosts
+ * agree on them. `unlisted` are hosts whose daemons still run after the list
+ * has dropped them; they are informed like the others.
  */
 export function distributionRole(
   ownAddress: string,
   hosts: readonly ListedHost[],
+  unlisted: readonly ListedHost[] = [],
 ): DistributionRole {
   if (hosts.length === 0) return SOLE_READER;
-  const own = hosts.find(({address}) => address === ownAddress);
-  // A host that is not listed is informed by none and asks the platform itself.
+  const own = [...hosts, ...unlisted].find(
+    ({address}) => address === ownAddress,
+  );
+  // No other host knows this one, so it asks the platform itself.
   if (!own) return UNINFORMED;
+  const unlistedOfZone = unlisted.filter(
+    ({availabilityZone}) => availabilityZone === own.availabilityZone,
+  );
   const zones = groupByZone(hosts);
   const readers = selectReaders(zones);
   const relaysByZone = [...zones].map(
@@ -68,6 +78,7 @@
   const downstream = [
     ...(isReader ? relays : []),
     ...(isRelay ? (zones.get(own.availabilityZone) ?? []) : []),
+    ...(isRelay ? unlistedOfZone : []),
   ];
   const upstream = [...(isRelay ? readers : []), ...ownRelays];
   return {
--- a/packages/host-daemon/src/test/fleet-fixture.ts
+++ b/packages/host-daemon/src/test/fleet-fixture.ts
@@ -124,8 +124,11 @@
     }
   }
 
-  /** Lists the backend servers of these hosts to every daemon. */
-  listServers(hosts: readonly FixtureHost[] = this.hosts): void {
+  /** Lists the backend servers of these hosts to some or all daemons. */
+  listServers(
+    hosts: readonly FixtureHost[] = this.hosts,
+    recipients: readonly FixtureHost[] = this.hosts,
+  ): void {
     this.revision++;
     const servers = hosts.map(host => {
       const server: routing.BackendServer = {
@@ -145,7 +148,8 @@
         text: JSON.stringify(server),
       };
     });
-    for (const listener of this.listeners) {
+    for (const host of recipients) {
+      const listener = this.listenerOf(host);
       listener.onServersListed(servers, this.revision, nowMs());
       listener.onContact('servers', true, nowMs());
     }
--- a/packages/host-daemon/src/test/reader-selection_test.ts
+++ b/packages/host-daemon/src/test/reader-selection_test.ts
@@ -120,3 +120,20 @@
   t.is(role.downstream.size, 0);
   t.true(readerSelection.distributionRole('10.9.0.1', []).isReader);
 });
+
+test('relays of its zone inform a host that has left the list', t => {
+  // Guards against a daemon that learns last that its own server has left.
+  const hosts = createFleet(3, 5);
+  const roles = rolesOf(hosts);
+  const leaving = hosts.find(({address}) => roles.get(address)?.isReader);
+  if (!leaving) return t.fail();
+  const listed = hosts.filter(host => host !== leaving);
+  const role = (address: string) =>
+    readerSelection.distributionRole(address, listed, [leaving]);
+  t.false(role(leaving.address).isReader);
+  t.is(role(leaving.address).downstream.size, 0);
+  t.is(role(leaving.address).upstream.size, 2);
+  for (const relay of role(leaving.address).upstream) {
+    t.true(role(relay).downstream.has(leaving.address));
+  }
+});
