Reject a response whose head names two requests

Every request id of a head must now be that of the call; otherwise the outcome is unknown.

Evidence: two new rows of response-validator_test fail without the change (both responses were accepted) and pass with it.

--- a/packages/host-daemon/src/response-validator.ts
+++ b/packages/host-daemon/src/response-validator.ts
@@ -62,7 +62,7 @@
   validate(requestId: string, response: BackendResponse): ValidationResult {
     const {headers, status} = response;
     const read = (name: string) => transport.headerValue(headers, name);
-    if ((read(this.requestIdHeader) ?? '') !== requestId) {
+    if (!this.isFor(requestId, headers)) {
       return {kind: 'rejected', cause: 'otherRequest'};
     }
     if (status === MISDIRECTED_REQUEST) return {kind: 'misdirected'};
@@ -77,4 +77,16 @@
       ? {kind: 'rejected', cause: 'unproven'}
       : {kind: 'complete'};
   }
+
+  /**
+   * A response that stops within its head is continued by the next one on the
+   * connection, so the head may carry the ids of two requests.
+   */
+  private isFor(requestId: string, headers: protocol.HeaderList): boolean {
+    const ids = headers
+      .filter(([name]) => name.toLowerCase() === this.requestIdHeader)
+      .map(([, value]) => value);
+    if (ids.length === 0) return requestId === '';
+    return ids.every(id => id === requestId);
+  }
 }
--- a/packages/host-daemon/src/test/response-validator_test.ts
+++ b/packages/host-daemon/src/test/response-validator_test.ts
@@ -31,6 +31,17 @@
   '408 without confirmation of not running': [408, [ID, PROOF], 'rejected'],
   'a success': [200, [ID, PROOF], 'complete'],
   'a success for an earlier request': [200, [OTHER_ID, PROOF], 'rejected'],
+  'a success continued by one for an earlier request': [
+    200,
+    [ID, PROOF, OTHER_ID, PROOF],
+    'rejected',
+  ],
+  'a refusal continued by one for an earlier request': [
+    503,
+    [ID, OTHER_ID, NOT_RUN],
+    'rejected',
+  ],
+  'a success that names its request twice': [200, [ID, ID, PROOF], 'complete'],
   'a success without a request id': [200, [PROOF], 'rejected'],
   'a success without proof': [200, [ID], 'rejected'],
   'an encoded success': [
