Count the bodies of calls that peers send in one frame

They now draw on the memory of all received bodies; a call that does not fit is refused before it starts.

Evidence: the row of 101 bytes of peer-request-handler_test fails with the reservation taken out and passes with it.

--- a/packages/host-daemon/src/host-daemon.ts
+++ b/packages/host-daemon/src/host-daemon.ts
@@ -111,6 +111,7 @@
       incarnation,
       local,
       stopSchedule: this.stopSchedule,
+      bodyMemory: memory.received,
       startedCalls: new ownership.CallRegister(),
       reporter: () => this.reporter,
     });
--- a/packages/host-daemon/src/peer-request-handler.ts
+++ b/packages/host-daemon/src/peer-request-handler.ts
@@ -24,6 +24,8 @@
   readonly incarnation: string;
   readonly local: localTarget.LocalTarget;
   readonly stopSchedule: stopSchedule.StopSchedule;
+  /** Bounds the bodies of calls that wait or run, with those of clients. */
+  readonly bodyMemory: transport.BodyMemory;
   readonly startedCalls: ownership.StartedCalls;
   readonly reporter: () => peerReporter.PeerReporter;
 }
@@ -44,11 +46,18 @@
   }
 
   async onCall(call: transport.IncomingCall): Promise<void> {
+    const {wholeBody} = call.head;
+    const reservation = this.options.bodyMemory.open(null);
+    if (wholeBody && !reservation.tryGrow(wholeBody.length)) {
+      this.refuse(call, 'queueFull', 0);
+      return;
+    }
     this.running++;
     try {
       await this.handleCall(call);
     } finally {
       this.running--;
+      reservation.release();
     }
   }
 
--- a/packages/host-daemon/src/test/peer-request-handler_test.ts
+++ b/packages/host-daemon/src/test/peer-request-handler_test.ts
@@ -1,5 +1,5 @@
 import * as runtime from '@camphorwharf/runtime';
-import type * as transport from '@camphorwharf/transport';
+import * as transport from '@camphorwharf/transport';
 import test from 'ava';
 import type * as localTarget from '../local-target.js';
 import * as peerRequestHandler from '../peer-request-handler.js';
@@ -24,44 +24,83 @@
 ];
 for (const [name, {nested, elapsedMs}, runs] of CASES) {
   test(`a call of a peer ${name} is ${runs ? 'run' : 'refused'}`, async t => {
-    const clock = new runtime.ManualClock(10_000);
-    const schedule = new stopSchedule.StopSchedule(LIMIT_MS);
-    if (elapsedMs !== null) schedule.begin(clock.monotonicMs() - elapsedMs);
-    let ran = false;
-    const refusals: string[] = [];
-    const handler = new peerRequestHandler.PeerRequestHandler({
-      clock,
-      service: 'parts',
-      incarnation: 'incarnation-1',
-      stopSchedule: schedule,
-      startedCalls: {
-        start: () => 'start',
-        cancelIfNotStarted: () => 'cancelled',
-      } as never,
-      reporter: () => {
-        throw new Error('No report is expected.');
-      },
-      local: {
-        load: undefined,
-        run: () => {
-          ran = true;
-          return Promise.resolve(targetCall.refusedResult('overloaded'));
-        },
-      } as unknown as localTarget.LocalTarget,
-    });
-    await handler.onCall({
-      permissionValid: true,
-      head: {
-        service: 'parts',
-        instance: 'instance-1',
-        attempt: 1,
-        nested,
-        headers: [],
-        context: {requestId: 'request-1', remainingMs: 1_000},
+    const outcome = await handleCall({nested, elapsedMs});
+    t.is(outcome.ran, runs);
+    t.deepEqual(outcome.refusals, [runs ? 'overloaded' : 'targetLeaving']);
+  });
+}
+
+/**
+ * Guards against bodies of calls that wait for a slot and fill the memory of
+ * the process. The bodies of all calls together may have 100 bytes.
+ */
+const BODIES: ReadonlyArray<readonly [number, string]> = [
+  [0, 'overloaded'],
+  [100, 'overloaded'],
+  [101, 'queueFull'],
+];
+for (const [bodyBytes, refusal] of BODIES) {
+  test(`a call of a peer with ${bodyBytes} bytes of body in 100 bytes of memory`, async t => {
+    const memory = new transport.BodyMemory(100);
+    const outcome = await handleCall({bodyBytes, memory});
+    t.deepEqual(outcome.refusals, [refusal]);
+    t.is(outcome.ran, refusal === 'overloaded');
+    t.is(memory.bytes, 0);
+  });
+}
+
+interface CallOptions {
+  readonly nested?: boolean;
+  /** Time since the start of a stop, in milliseconds; null without one. */
+  readonly elapsedMs?: number | null;
+  readonly bodyBytes?: number;
+  readonly memory?: transport.BodyMemory;
+}
+
+/** Handles a call; its target refuses it as overloaded. */
+async function handleCall({
+  nested = false,
+  elapsedMs = null,
+  bodyBytes = 0,
+  memory = new transport.BodyMemory(),
+}: CallOptions): Promise<{ran: boolean; refusals: string[]}> {
+  const clock = new runtime.ManualClock(10_000);
+  const schedule = new stopSchedule.StopSchedule(LIMIT_MS);
+  if (elapsedMs !== null) schedule.begin(clock.monotonicMs() - elapsedMs);
+  const outcome = {ran: false, refusals: [] as string[]};
+  const handler = new peerRequestHandler.PeerRequestHandler({
+    clock,
+    service: 'parts',
+    incarnation: 'incarnation-1',
+    stopSchedule: schedule,
+    bodyMemory: memory,
+    startedCalls: {
+      start: () => 'start',
+      cancelIfNotStarted: () => 'cancelled',
+    } as never,
+    reporter: () => {
+      throw new Error('No report is expected.');
+    },
+    local: {
+      load: undefined,
+      run: () => {
+        outcome.ran = true;
+        return Promise.resolve(targetCall.refusedResult('overloaded'));
       },
-      refuse: (reason: string) => refusals.push(reason),
-    } as unknown as transport.IncomingCall);
-    t.is(ran, runs);
-    t.deepEqual(refusals, [runs ? 'overloaded' : 'targetLeaving']);
+    } as unknown as localTarget.LocalTarget,
   });
+  await handler.onCall({
+    permissionValid: true,
+    head: {
+      service: 'parts',
+      instance: 'instance-1',
+      attempt: 1,
+      nested,
+      headers: [],
+      context: {requestId: 'request-1', remainingMs: 1_000},
+      ...(bodyBytes > 0 ? {wholeBody: new Uint8Array(bodyBytes)} : {}),
+    },
+    refuse: (reason: string) => outcome.refusals.push(reason),
+  } as unknown as transport.IncomingCall);
+  return outcome;
 }
