Export the memory of received bodies; test limits of unlisted hosts

Requests without a body no longer create a body reader, and calls of peers without one no reservation.

--- a/packages/fleet-limits/src/test/fleet-rate-limits_test.ts
+++ b/packages/fleet-limits/src/test/fleet-rate-limits_test.ts
@@ -55,6 +55,18 @@
       },
     ],
     ['hosts added', {listed: nowMs => (nowMs < 6_000 ? 7 : HOSTS)}],
+    [
+      'half of the hosts leave the list and go on serving',
+      {listed: nowMs => (nowMs < 6_000 ? HOSTS : 7), unlistedServe: true},
+    ],
+    [
+      'half of the hosts leave the list before a sudden rise',
+      {
+        listed: nowMs => (nowMs < 6_000 ? HOSTS : 7),
+        unlistedServe: true,
+        demand: (_, nowMs) => (nowMs < 8_000 ? 0 : 30),
+      },
+    ],
   ];
 for (const [name, overrides] of OVERRUNS) {
   test(`use stays within the bound: ${name}`, t => {
@@ -90,6 +102,14 @@
       listed: nowMs => (nowMs < 6_000 ? HOSTS : HOSTS / 2),
     },
   ],
+  [
+    'on a host that has left the list',
+    {
+      demand: host => (host === HOSTS - 1 ? 25 : 0),
+      listed: nowMs => (nowMs < 6_000 ? HOSTS : HOSTS - 1),
+      unlistedServe: true,
+    },
+  ],
   [
     'each host is restarted, one after the other',
     {
--- a/packages/fleet-limits/src/test/fleet-simulation.ts
+++ b/packages/fleet-limits/src/test/fleet-simulation.ts
@@ -41,6 +41,8 @@
   readonly firstReportMs?: number;
   /** Returns the number of hosts that are listed; all by default. */
   readonly listed?: (nowMs: number) => number;
+  /** Whether hosts that are not listed serve and report. */
+  readonly unlistedServe?: boolean;
 }
 
 export interface Outcome {
@@ -93,7 +95,8 @@
     const listedCount = scenario.listed?.(nowMs) ?? scenario.hosts;
     const listed = new Set(hosts.slice(0, listedCount).map(host => host.name));
     hosts.forEach((host, index) => {
-      if (nowMs < host.upFromMs || index >= listedCount) return;
+      if (nowMs < host.upFromMs) return;
+      if (index >= listedCount && !scenario.unlistedServe) return;
       if (newSettings !== settings) host.limits.configure([newSettings], nowMs);
       if (nowMs % 500 === 0 || nowMs === host.upFromMs) {
         host.fleet.setListed(listed, nowMs);
--- a/packages/host-daemon/src/caller-http-server.ts
+++ b/packages/host-daemon/src/caller-http-server.ts
@@ -199,6 +199,9 @@
           await connection.untilFirst(exchange);
         },
         readBody: maximumBytes => {
+          if (!requestBody.hasBody(request)) {
+            return Promise.resolve({kind: 'body', body: null});
+          }
           bodyReader = new requestBody.RequestBodyReader(
             request,
             connection,
--- a/packages/host-daemon/src/host-daemon.ts
+++ b/packages/host-daemon/src/host-daemon.ts
@@ -39,6 +39,7 @@
   private readonly loadBalancer: routing.TargetBalancer;
   private readonly targetState: localTargetState.LocalTargetState;
   private readonly local: localTarget.LocalTarget;
+  private readonly receivedBodies: transport.BodyMemory;
   private readonly client: transport.BufferedExchangeClient;
   private readonly pool: transport.PeerPool;
   private readonly listener: transport.PeerListener;
@@ -83,6 +84,7 @@
       onContact: () => this.reporter?.informDownstream(),
     });
     const memory = bodyMemory.bodyLimits(settings.memoryBytes);
+    this.receivedBodies = memory.received;
     this.client = new transport.BufferedExchangeClient({
       ...settings.backendServer,
       nowMs: () => clock.monotonicMs(),
@@ -243,6 +245,7 @@
           state: this.state,
           limits: this.limits,
           monitor: this.local.monitor,
+          bodyMemory: this.receivedBodies,
         },
         signal,
       ),
--- a/packages/host-daemon/src/peer-request-handler.ts
+++ b/packages/host-daemon/src/peer-request-handler.ts
@@ -46,9 +46,8 @@
   }
 
   async onCall(call: transport.IncomingCall): Promise<void> {
-    const {wholeBody} = call.head;
-    const reservation = this.options.bodyMemory.open(null);
-    if (wholeBody && !reservation.tryGrow(wholeBody.length)) {
+    const reservation = this.reserveBody(call);
+    if (reservation === 'refused') {
       this.refuse(call, 'queueFull', 0);
       return;
     }
@@ -57,10 +56,20 @@
       await this.handleCall(call);
     } finally {
       this.running--;
-      reservation.release();
+      reservation?.release();
     }
   }
 
+  /** Returns null for a call without a body in its frame. */
+  private reserveBody(
+    call: transport.IncomingCall,
+  ): transport.MemoryReservation | null | 'refused' {
+    const {wholeBody} = call.head;
+    if (!wholeBody) return null;
+    const reservation = this.options.bodyMemory.open(null);
+    return reservation.tryGrow(wholeBody.length) ? reservation : 'refused';
+  }
+
   private async handleCall(call: transport.IncomingCall): Promise<void> {
     const {clock, local, startedCalls, service} = this.options;
     const {head} = call;
--- a/packages/host-daemon/src/periodic-checks.ts
+++ b/packages/host-daemon/src/periodic-checks.ts
@@ -1,5 +1,6 @@
 import type * as fleetLimits from '@camphorwharf/fleet-limits';
 import type * as runtime from '@camphorwharf/runtime';
+import type * as transport from '@camphorwharf/transport';
 import type * as fleetState from './fleet-state.js';
 import type * as loadMonitor from './load-monitor.js';
 import * as suspendDetector from './suspend-detector.js';
@@ -16,6 +17,7 @@
   >;
   readonly limits: Pick<fleetLimits.FleetRateLimits, 'tick'>;
   readonly monitor: Pick<loadMonitor.LoadMonitor, 'exportMetrics'>;
+  readonly bodyMemory: Pick<transport.BodyMemory, 'bytes' | 'failedBodies'>;
 }
 
 /** Runs the checks that depend on time only, not on input. */
@@ -23,7 +25,7 @@
   options: PeriodicCheckOptions,
   signal: AbortSignal,
 ): Promise<void> {
-  const {clock, limits, logger, metrics, monitor, state} = options;
+  const {bodyMemory, clock, limits, logger, metrics, monitor, state} = options;
   const detector = new suspendDetector.SuspendDetector();
   while (!signal.aborted) {
     const nowMs = clock.monotonicMs();
@@ -39,6 +41,16 @@
       'Time since the platform last confirmed the configuration, in seconds.',
       state.configurationAgeMs(nowMs) / 1_000,
     );
+    metrics.gauge(
+      'received_body_bytes',
+      'Memory of the bodies that this process is receiving, in bytes.',
+      bodyMemory.bytes,
+    );
+    metrics.gauge(
+      'received_bodies_failed',
+      'Bodies since the start that failed because they held the most memory.',
+      bodyMemory.failedBodies,
+    );
     await clock.delay(INTERVAL_MS, signal);
   }
 }
--- a/packages/host-daemon/src/request-body.ts
+++ b/packages/host-daemon/src/request-body.ts
@@ -14,6 +14,14 @@
 
 export type RequestBody = Uint8Array | AsyncIterable<Uint8Array> | null;
 
+/** Whether a request announces a body, which may be empty. */
+export function hasBody({headers}: http.IncomingMessage): boolean {
+  return (
+    headers['content-length'] !== undefined ||
+    headers['transfer-encoding'] !== undefined
+  );
+}
+
 /** Why a body is not read to its end. */
 export type BodyFailure =
   | {readonly kind: 'aborted'}
@@ -68,10 +76,8 @@
   /** Resolves when the body is complete, has become a stream, or has failed. */
   async read(): Promise<BodyResult> {
     const {request} = this;
-    const declared = request.headers['content-length'];
-    const isChunked = request.headers['transfer-encoding'] !== undefined;
-    if (declared === undefined && !isChunked) return {kind: 'body', body: null};
-    this.isStreaming = Number(declared ?? 0) > MAXIMUM_BUFFERED_BYTES;
+    const declaredBytes = Number(request.headers['content-length'] ?? 0);
+    this.isStreaming = declaredBytes > MAXIMUM_BUFFERED_BYTES;
     request.on('data', (chunk: Buffer) => this.receive(chunk));
     request.on('end', () => this.finish('complete'));
     request.on('error', () => this.fail({kind: 'aborted'}));
--- a/packages/transport/src/body-memory.ts
+++ b/packages/transport/src/body-memory.ts
@@ -10,6 +10,7 @@
  */
 export class BodyMemory {
   private usedBytes = 0;
+  private failures = 0;
   private readonly reservations = new Set<MemoryReservation>();
 
   constructor(private readonly limitBytes = DEFAULT_LIMIT_BYTES) {}
@@ -19,6 +20,11 @@
     return this.usedBytes;
   }
 
+  /** Number of bodies that failed because the limit was reached. */
+  get failedBodies(): number {
+    return this.failures;
+  }
+
   /**
    * Starts the reservation of one body. `onEvicted` is called when the body
    * must fail because others need its memory; null if it cannot fail any more.
@@ -35,6 +41,7 @@
     const wantedBytes = reservation.bytes + bytes;
     while (this.usedBytes + bytes > this.limitBytes) {
       const largest = this.largestOther(reservation);
+      this.failures++;
       if (!largest || largest.bytes <= wantedBytes) return false;
       largest.evict();
     }
--- a/packages/transport/src/test/body-buffer_test.ts
+++ b/packages/transport/src/test/body-buffer_test.ts
@@ -128,6 +128,7 @@
       reservation.release();
     }
     t.deepEqual(failures, failed);
+    t.is(memory.failedBodies, failed.length);
     t.is(memory.bytes, remainingBytes);
   });
 }
