--- a/packages/host-daemon/src/request-body.ts
+++ b/packages/host-daemon/src/request-body.ts
@@ -56,6 +56,7 @@
   private isStreaming = false;
   private isPaced = false;
   private isHolding = false;
+  private isHoldScheduled = false;
   private end: 'complete' | BodyFailure | null = null;
   private notify: () => void = () => undefined;
 
@@ -189,12 +190,15 @@
       this.reading.release();
       return;
     }
+    if (this.isHoldScheduled) return;
+    this.isHoldScheduled = true;
     // With each chunk of a read, the request resumes its socket, so the pause
     // follows after the last one.
     setImmediate(() => this.holdReading());
   }
 
   private holdReading(): void {
+    this.isHoldScheduled = false;
     if (this.isHolding || !this.mustHold) return;
     this.isHolding = true;
     this.reading.hold();
