Begin the stop of a test after its first requests have been forwarded

Trace of two failing runs at load averages of 28 to 38: the daemon read the first row 0.9 s after it was sent, when the stop had begun at 0.4 s. Of a row that is read in a stop only the first request is begun, as it should be, so two requests had been forwarded where the test wants more than three. No request was cut.

The test began the stop after a fixed 300 ms. It now also waits until the first row has been forwarded; what it demands is unchanged.

--- a/packages/host-daemon/src/test/host-daemon-stop_test.ts
+++ b/packages/host-daemon/src/test/host-daemon-stop_test.ts
@@ -143,7 +143,11 @@
         await helpers.waitUntil(() => isClosed || answered.has(String(last)));
       }
     };
-    const stopAt = new Promise(resolve => setTimeout(resolve, 300));
+    // Not before the first row has been forwarded: of a row that is read in a
+    // stop, only the first request is begun.
+    const stopAt = new Promise(resolve => setTimeout(resolve, 300)).then(() =>
+      helpers.waitUntil(() => host.received.length >= row),
+    );
     const stopped = stopAt.then(() => host.daemon.stop());
     let isStopped = false;
     void stopped.then(() => (isStopped = true));
