Report bytes behind a response and the use of its connection

Callers saw: nothing told a response that is followed by foreign bytes from a sound one, and no log could name how old a connection was when a refusal on it counted as proof that a request has not run.

Cause: undici reports the end of a response before it parses the rest of the same read. The exchange resolved, and its connection went back to the idle ones, within that callback.

Change: an answer carries hasTrailingBytes and connection (uses, ageMs). The exchange resolves in a microtask after the read. Bytes behind a response show as an error of the socket, or, where undici closes the connection itself, as bytes that it returns to the socket. A connection with such bytes, or one that undici has closed, does not become idle again. What a refusal with such bytes proves is left to the caller. The connection moved into server-connection.ts.

--- a/packages/transport/src/buffered-exchange-client.ts
+++ b/packages/transport/src/buffered-exchange-client.ts
@@ -1,17 +1,7 @@
-import type * as net from 'node:net';
 import * as runtime from '@camphorwharf/runtime';
-import * as undici from 'undici';
 import * as bodyMemory from './body-memory.js';
-import * as httpHeaders from './http-headers.js';
 import * as bufferedExchangeHandler from './buffered-exchange-handler.js';
-
-/** Ample: connecting to a process on the same host takes a few milliseconds. */
-const CONNECT_TIMEOUT_MS = 1_000;
-
-/**
- * Idle connections close after this time, or earlier on request of the server.
- */
-const IDLE_TIMEOUT_MS = 8_000;
+import * as serverConnection from './server-connection.js';
 
 export interface BufferedExchangeOptions {
   readonly address: string;
@@ -24,12 +14,6 @@
   readonly bodyMemory?: bodyMemory.BodyMemory;
 }
 
-interface Connection {
-  readonly client: undici.Client;
-  socket: net.Socket | null;
-  idleSinceMs: number;
-}
-
 /**
  * HTTP client of packages/host-daemon for the local backend server, which
  * returns whole responses. `BackendServerClient`, for packages/daemon, streams
@@ -38,8 +22,8 @@
  * never taken for the response to a later request. Requests are never retried.
  */
 export class BufferedExchangeClient {
-  private readonly idleConnections: Connection[] = [];
-  private readonly connections = new Set<Connection>();
+  private readonly idleConnections: serverConnection.ServerConnection[] = [];
+  private readonly connections = new Set<serverConnection.ServerConnection>();
   private readonly origin: string;
   private readonly memory: bodyMemory.BodyMemory;
 
@@ -66,10 +50,12 @@
         cancel: () => undefined,
       };
     }
+    connection.uses++;
     const handler = new bufferedExchangeHandler.BufferedExchangeHandler(
-      () => connection.socket,
+      connection,
       reusable => this.release(connection, reusable),
       this.memory,
+      this.options.nowMs,
     );
     handler.start(connection.client, request);
     return handler;
@@ -80,14 +66,15 @@
     for (const connection of [...this.connections]) this.close(connection);
   }
 
-  private acquire(maximumIdleMs: number): Connection | null {
+  private acquire(
+    maximumIdleMs: number,
+  ): serverConnection.ServerConnection | null {
     const nowMs = this.options.nowMs();
     for (;;) {
       const connection = this.idleConnections.pop();
       if (!connection) break;
       if (
-        connection.socket &&
-        !connection.socket.destroyed &&
+        connection.isOpen &&
         nowMs - connection.idleSinceMs <= maximumIdleMs
       ) {
         return connection;
@@ -95,32 +82,18 @@
       this.close(connection);
     }
     if (this.connections.size >= this.options.maximumConnections()) return null;
-    return this.open();
-  }
-
-  private open(): Connection {
-    const connect = undici.buildConnector({timeout: CONNECT_TIMEOUT_MS});
-    const connection: Connection = {
-      client: new undici.Client(this.origin, {
-        pipelining: 1,
-        headersTimeout: 0,
-        bodyTimeout: 0,
-        maxHeaderSize: httpHeaders.MAXIMUM_HEADER_BYTES * 2,
-        keepAliveTimeout: IDLE_TIMEOUT_MS,
-        connect: (connectOptions, callback) =>
-          connect(connectOptions, (...outcome) => {
-            connection.socket = outcome[1];
-            callback(...outcome);
-          }),
-      }),
-      socket: null,
-      idleSinceMs: 0,
-    };
+    const connection = new serverConnection.ServerConnection(
+      this.origin,
+      nowMs,
+    );
     this.connections.add(connection);
     return connection;
   }
 
-  private release(connection: Connection, reusable: boolean): void {
+  private release(
+    connection: serverConnection.ServerConnection,
+    reusable: boolean,
+  ): void {
     if (!this.connections.has(connection)) return;
     if (!reusable) {
       this.close(connection);
@@ -130,8 +103,8 @@
     this.idleConnections.push(connection);
   }
 
-  private close(connection: Connection): void {
+  private close(connection: serverConnection.ServerConnection): void {
     this.connections.delete(connection);
-    connection.client.destroy().catch(() => undefined);
+    connection.close();
   }
 }
--- a/packages/transport/src/buffered-exchange-handler.ts
+++ b/packages/transport/src/buffered-exchange-handler.ts
@@ -1,11 +1,11 @@
 import type * as protocol from '@camphorwharf/protocol';
 import * as runtime from '@camphorwharf/runtime';
-import type * as net from 'node:net';
 import type * as undici from 'undici';
 import * as bodyBuffer from './body-buffer.js';
 import * as bodyMemory from './body-memory.js';
 import * as framingLimit from './framing-limit.js';
 import * as httpHeaders from './http-headers.js';
+import type * as serverConnection from './server-connection.js';
 
 /** Larger responses fail the exchange, which bounds memory use. */
 const MAXIMUM_RESPONSE_BYTES = 32 * 1024 * 1024;
@@ -35,6 +35,12 @@
       readonly status: number;
       readonly headers: protocol.HeaderList;
       readonly body: Uint8Array;
+      /**
+       * Whether bytes followed the response in the same read. They belong to no
+       * request, but show that the server sent more than it was asked for.
+       */
+      readonly hasTrailingBytes: boolean;
+      readonly connection: serverConnection.ConnectionUse;
     }
   /** No byte of the request was written. */
   | {readonly kind: 'notSent'; readonly error: Error}
@@ -67,9 +73,10 @@
   private failure: Error | null = null;
 
   constructor(
-    private readonly socket: () => net.Socket | null,
+    private readonly connection: serverConnection.ServerConnection,
     private readonly releaseConnection: (reusable: boolean) => void,
     private readonly memory: bodyMemory.BodyMemory,
+    private readonly nowMs: () => number,
   ) {
     this.result = new Promise(resolve => {
       this.resolve = resolve;
@@ -116,7 +123,7 @@
       );
     }
     if (this.failure) controller.abort(this.failure);
-    this.bytesReadBefore = this.socket()?.bytesRead ?? 0;
+    this.bytesReadBefore = this.connection.socket?.bytesRead ?? 0;
   }
 
   onResponseStart(
@@ -168,7 +175,8 @@
       );
       return;
     }
-    const wireBytes = (this.socket()?.bytesRead ?? 0) - this.bytesReadBefore;
+    const wireBytes =
+      (this.connection.socket?.bytesRead ?? 0) - this.bytesReadBefore;
     if (framingLimit.isFramingExcessive(payloadBytes, wireBytes)) {
       this.fail(
         new runtime.ProtocolError(
@@ -183,7 +191,7 @@
     if (this.settled || !this.body) return;
     // For a response with `connection: close`, undici treats a connection reset
     // as the end of the body, even when the response is incomplete.
-    if (this.socket()?.errored != null) {
+    if (this.connection.socket?.errored != null) {
       this.fail(
         new runtime.ConnectionError(
           'The backend server reset the connection during its response.',
@@ -203,13 +211,8 @@
     }
     this.settled = true;
     const body = this.body.take();
-    this.releaseConnection(!this.connectionClose);
-    this.resolve({
-      kind: 'answer',
-      status: this.status,
-      headers: this.headers,
-      body,
-    });
+    // Runs after the present read, which may hold bytes behind the response.
+    queueMicrotask(() => this.complete(body));
   }
 
   onResponseError(
@@ -225,6 +228,22 @@
     );
   }
 
+  private complete(body: Uint8Array): void {
+    const {connection} = this;
+    const {hasTrailingBytes, uses} = connection;
+    this.releaseConnection(
+      !this.connectionClose && !hasTrailingBytes && connection.isOpen,
+    );
+    this.resolve({
+      kind: 'answer',
+      status: this.status,
+      headers: this.headers,
+      body,
+      hasTrailingBytes,
+      connection: {uses, ageMs: this.nowMs() - connection.openedMs},
+    });
+  }
+
   private countInterimResponse(): void {
     this.interimResponses++;
     if (this.interimResponses <= MAXIMUM_INTERIM_RESPONSES) return;
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -52,3 +52,4 @@
   BufferedExchangeRequest,
   BufferedExchangeResult,
 } from './buffered-exchange-handler.js';
+export type {ConnectionUse} from './server-connection.js';
--- a/packages/transport/src/test/buffered-exchange-fixture.ts
+++ b/packages/transport/src/test/buffered-exchange-fixture.ts
@@ -15,6 +15,7 @@
 export interface ClientLimits {
   readonly maximumConnections: number;
   readonly bodyMemory?: bodyMemory.BodyMemory;
+  readonly nowMs?: () => number;
 }
 
 /** Starts `server` and a client for it; both close at the end of the test. */
@@ -27,7 +28,7 @@
   const client = new bufferedExchangeClient.BufferedExchangeClient({
     address: '127.0.0.1',
     port: (server.address() as net.AddressInfo).port,
-    nowMs: () => 0,
+    nowMs: limits.nowMs ?? (() => 0),
     maximumConnections: () => limits.maximumConnections,
     bodyMemory: limits.bodyMemory,
   });
