Log who concluded that an attempt has not run

Cause: `request-retried` named only the instance and a reason, a repeat left no line at its target, and the verdict on a lost call was only counted. All lines on single requests shared one budget, so that refusals hid the rare ones.

Change: `request-retried` names the attempt and who concluded (`concludedBy`). The target's daemon logs start and end of each repeat of a request that may run once, and the end of a first attempt that had no whole response, with the sign of a refusal, the status and the use of the connection (`attempt-started`, `attempt-ended`). `cancel-query-answered` has the verdict with id and attempt. These lines have a budget of their own of the same size; the counter of lines left out has the label `budget`. Results of attempts moved into attempt-outcome.ts. `camphorwharf trace` shows `standstill-suspected` as state.

Volume and processor time on a site were not measured.

--- a/packages/command-line/src/request-trace.ts
+++ b/packages/command-line/src/request-trace.ts
@@ -7,6 +7,7 @@
   'daemon-stopping',
   'platform-lost',
   'platform-regained',
+  'standstill-suspected',
   'state-adopted-from-peer',
 ]);
 
--- a/packages/command-line/src/test/trace_test.ts
+++ b/packages/command-line/src/test/trace_test.ts
@@ -40,7 +40,9 @@
   logLine(6, 'configuration-in-force', {version: 5}),
 ]);
 const targetLog = writeLogFile('collected.txt', [
-  `   0.5 host-b ${logLine(3, 'request-retried', {requestId, instance: 'i-1'})}`,
+  `   0.5 host-b ${logLine(3, 'request-retried', {requestId, attempt: 1, instance: 'i-1', concludedBy: 'backendServer'})}`,
+  `   0.5 host-b ${logLine(2.9, 'attempt-ended', {requestId, attempt: 1, sign: 'notExecutedField', connectionUses: 7})}`,
+  `   0.5 host-b ${logLine(2, 'standstill-suspected', {uncountedMs: 900})}`,
   `   0.5 host-c ${logLine(1, 'platform-lost')}`,
 ]);
 
@@ -59,7 +61,17 @@
     rows.map(row => row.split(/\s{2,}/).slice(1)),
     [
       ['host-a', 'configuration-in-force', 'version=4'],
-      ['host-b', 'request-retried', 'instance=i-1'],
+      ['host-b', 'standstill-suspected', 'uncountedMs=900'],
+      [
+        'host-b',
+        'attempt-ended',
+        'attempt=1 sign=notExecutedField connectionUses=7',
+      ],
+      [
+        'host-b',
+        'request-retried',
+        'attempt=1 instance=i-1 concludedBy=backendServer',
+      ],
       ['host-a', 'request-refused', 'reason=overloaded'],
     ],
   );
--- /dev/null
+++ b/packages/host-daemon/src/attempt-outcome.ts
@@ -0,0 +1,130 @@
+import type * as protocol from '@camphorwharf/protocol';
+import * as transport from '@camphorwharf/transport';
+import type * as targetCall from './target-call.js';
+
+/** Retry delay for callers when the target gives none. */
+const DEFAULT_RETRY_AFTER_MS = 300;
+
+/** Who concluded that an attempt has run, has not run, or may have run. */
+export type Conclusion =
+  /** A response of the backend server. */
+  | 'backendServer'
+  /** The connection to the target's daemon: no byte of the call was written. */
+  | 'connectionNotWritten'
+  /** The connection to the target's daemon ended after the call was written. */
+  | 'connectionLost'
+  /** The target's daemon; its own log says from what. */
+  | 'targetDaemon'
+  /** This daemon, before it sent the call, or at the deadline. */
+  | 'thisDaemon'
+  /** The target confirmed, after the call was lost, that it never starts it. */
+  | 'withdrawal';
+
+/** Result of one attempt at one target. */
+export interface AttemptOutcome {
+  readonly result: targetCall.CallResult;
+  readonly load: protocol.ReportedLoad | undefined;
+  /** Whether no byte of the call has reached the target's daemon. */
+  readonly unreachable: boolean;
+  /** Who concluded from what that the attempt ended as `result` says. */
+  readonly concludedBy: Conclusion;
+  /** The target's verdict on a query never to start the call. */
+  readonly cancelVerdict?: string;
+}
+
+/** Reads a result to its end; returns `lost` if the response is incomplete. */
+export async function readResult(
+  result: transport.PeerResult,
+  memory: transport.BodyMemory,
+): Promise<AttemptOutcome | 'lost'> {
+  switch (result.kind) {
+    case 'whole': {
+      const {status, headers, body, load} = result;
+      return {
+        result: {kind: 'answer', status, headers, body},
+        load,
+        unreachable: false,
+        concludedBy: 'backendServer',
+      };
+    }
+    case 'answer': {
+      const body = await readBody(result.body, memory);
+      if (!body) return 'lost';
+      const {status, headers} = result;
+      return {
+        result: {kind: 'answer', status, headers, body},
+        load: undefined,
+        unreachable: false,
+        concludedBy: 'backendServer',
+      };
+    }
+    case 'refused':
+      return {
+        result: {
+          kind: 'refused',
+          reason: result.reason,
+          retryAfterMs: result.retryAfterMs ?? DEFAULT_RETRY_AFTER_MS,
+          byServer: result.byServer ?? false,
+        },
+        load: result.load,
+        unreachable: false,
+        concludedBy: result.byServer ? 'backendServer' : 'targetDaemon',
+      };
+    case 'unknown':
+      return {
+        result: {kind: 'unknown', reason: result.reason},
+        load: result.load,
+        unreachable: false,
+        concludedBy: 'targetDaemon',
+      };
+    case 'lost':
+      return 'lost';
+  }
+}
+
+/** Returns null if the body is incomplete or does not fit into the memory. */
+async function readBody(
+  body: AsyncIterable<Uint8Array>,
+  memory: transport.BodyMemory,
+): Promise<Uint8Array | null> {
+  let isEvicted = false;
+  const buffer = new transport.BodyBuffer(
+    memory.open(() => (isEvicted = true)),
+  );
+  try {
+    for await (const chunk of body) {
+      if (isEvicted || !buffer.append(chunk)) return null;
+    }
+    return isEvicted ? null : buffer.take();
+  } catch {
+    return null;
+  } finally {
+    buffer.clear();
+  }
+}
+
+/** No byte of the call has reached the target's daemon. */
+export function unreachableOutcome(): AttemptOutcome {
+  return {
+    ...refusedOutcome('targetUnavailable', 'connectionNotWritten'),
+    unreachable: true,
+  };
+}
+
+/** The call has not run and never will. */
+export function refusedOutcome(
+  reason: protocol.RefusalReasonName,
+  concludedBy: Conclusion,
+): AttemptOutcome {
+  return {
+    result: {
+      kind: 'refused',
+      reason,
+      retryAfterMs: DEFAULT_RETRY_AFTER_MS,
+      byServer: false,
+    },
+    load: undefined,
+    unreachable: false,
+    concludedBy,
+  };
+}
--- a/packages/host-daemon/src/local-backend-client.ts
+++ b/packages/host-daemon/src/local-backend-client.ts
@@ -2,8 +2,9 @@
 import type * as runtime from '@camphorwharf/runtime';
 import * as transport from '@camphorwharf/transport';
 import * as responseValidator from './response-validator.js';
+import * as attemptLog from './attempt-log.js';
 import type * as httpBinding from './http-binding.js';
-import type * as requestLogger from './request-logger.js';
+import * as requestLogger from './request-logger.js';
 import type * as localTargetState from './local-target-state.js';
 import * as targetCall from './target-call.js';
 import * as timerResolution from './timer-resolution.js';
@@ -39,11 +40,16 @@
   private readonly validator: responseValidator.ResponseValidator;
   /** In lower case. */
   private readonly loadHeader: string;
+  private readonly attempts: attemptLog.AttemptLog;
 
   constructor(private readonly options: LocalBackendClientOptions) {
     const {binding} = options;
     this.validator = new responseValidator.ResponseValidator(binding);
     this.loadHeader = binding.loadHeader.toLowerCase();
+    this.attempts = new attemptLog.AttemptLog(
+      options.requestLog,
+      binding.proofHeader.toLowerCase(),
+    );
   }
 
   async run(
@@ -54,6 +60,7 @@
     if (signal.aborted) return targetCall.refusedResult('cancelled', 0);
     const remainingMs = deadlineMs - this.options.clock.monotonicMs();
     if (remainingMs <= 1) return targetCall.refusedResult('deadlineExpired', 0);
+    this.attempts.noteStart(call);
     const exchange = this.options.client.send({
       method: call.method,
       path: call.path,
@@ -70,10 +77,12 @@
       timerResolution.roundUpDelay(remainingMs + RESPONSE_MARGIN_MS),
     );
     signal.addEventListener('abort', cancel);
-    const result = await exchange.result;
+    const exchangeResult = await exchange.result;
     clearTimeout(timer);
     signal.removeEventListener('abort', cancel);
-    return this.interpretResult(call, result);
+    const result = this.interpretResult(call, exchangeResult);
+    this.attempts.noteEnd(call, exchangeResult, result);
+    return result;
   }
 
   private backendHeaders(
@@ -149,11 +158,11 @@
       'Answers of the backend server that were not passed on, by cause.',
       {cause},
     );
-    this.options.requestLog.log('backend-answer-rejected', {
-      requestId: call.requestId,
-      instance: call.instance,
-      status,
-      cause,
-    });
+    const {requestId, attempt, instance} = call;
+    this.options.requestLog.log(
+      'backend-answer-rejected',
+      {requestId, attempt, instance, status, cause},
+      requestLogger.attemptBudget(call),
+    );
   }
 }
--- a/packages/host-daemon/src/peer-request-handler.ts
+++ b/packages/host-daemon/src/peer-request-handler.ts
@@ -116,6 +116,7 @@
         body: call.body ?? head.wholeBody ?? null,
         contentLength: head.contentLength,
         requestId,
+        attempt: head.attempt,
         instance: head.instance,
         callerService: head.callerService ?? '',
         organisation,
--- a/packages/host-daemon/src/request-forwarder.ts
+++ b/packages/host-daemon/src/request-forwarder.ts
@@ -3,8 +3,9 @@
 import type * as protocol from '@camphorwharf/protocol';
 import type * as routing from '@camphorwharf/routing';
 import type * as runtime from '@camphorwharf/runtime';
+import type * as attemptOutcome from './attempt-outcome.js';
 import type * as routedRequest from './routed-request.js';
-import type * as requestLogger from './request-logger.js';
+import * as requestLogger from './request-logger.js';
 import type * as fleetState from './fleet-state.js';
 import type * as workScheduler from './work-scheduler.js';
 import * as targetCall from './target-call.js';
@@ -72,7 +73,18 @@
       if (!server) break;
       excluded.add(server.instance);
       const attempt = await this.sendAttempt(request, server, excluded.size);
-      const {result} = attempt;
+      const {cancelVerdict, result} = attempt;
+      if (cancelVerdict !== undefined) {
+        this.logAttempt(
+          'cancel-query-answered',
+          request,
+          server,
+          excluded.size,
+          {
+            verdict: cancelVerdict,
+          },
+        );
+      }
       switch (result.kind) {
         case 'answer':
           if (result.status < 500) return result;
@@ -105,10 +117,9 @@
         'Attempts after the first, by the reason of the failure before.',
         {reason: failureReason(result)},
       );
-      this.options.requestLog.log('request-retried', {
-        requestId: request.requestId,
-        instance: server.instance,
+      this.logAttempt('request-retried', request, server, excluded.size, {
         reason: failureReason(result),
+        concludedBy: attempt.concludedBy,
       });
     }
     return (
@@ -193,7 +204,7 @@
     request: routedRequest.RoutedRequest,
     server: routing.BackendServer,
     attemptNumber: number,
-  ): Promise<targetClient.AttemptOutcome> {
+  ): Promise<attemptOutcome.AttemptOutcome> {
     const {loadBalancer, clock} = this.options;
     loadBalancer.noteStart(server.instance);
     const attempt = await this.options.client.send(
@@ -219,6 +230,22 @@
     return attempt;
   }
 
+  private logAttempt(
+    event: string,
+    request: routedRequest.RoutedRequest,
+    server: routing.BackendServer,
+    attempt: number,
+    fields: runtime.LogFields,
+  ): void {
+    const {requestId, route} = request;
+    const {idempotent} = route;
+    this.options.requestLog.log(
+      event,
+      {requestId, attempt, instance: server.instance, idempotent, ...fields},
+      requestLogger.attemptBudget(route),
+    );
+  }
+
   private recordPressure(
     request: routedRequest.RoutedRequest,
     load: protocol.ReportedLoad,
--- a/packages/host-daemon/src/response-builder.ts
+++ b/packages/host-daemon/src/response-builder.ts
@@ -4,7 +4,7 @@
 import type * as httpBinding from './http-binding.js';
 import * as callerHttpServer from './caller-http-server.js';
 import type * as routedRequest from './routed-request.js';
-import type * as requestLogger from './request-logger.js';
+import * as requestLogger from './request-logger.js';
 import type * as fleetState from './fleet-state.js';
 import * as roundRatio from './round-ratio.js';
 import type * as targetCall from './target-call.js';
@@ -140,15 +140,19 @@
       'Requests whose outcome is unknown, by reason.',
       {reason},
     );
-    this.options.requestLog.log('request-unknown', {
-      requestId: request.requestId,
-      route: request.route.name,
-      service: request.service,
-      instance: instance ?? null,
-      reason,
-      elapsedMs: Math.round(elapsedMs),
-      configuration: this.options.state.version,
-    });
+    this.options.requestLog.log(
+      'request-unknown',
+      {
+        requestId: request.requestId,
+        route: request.route.name,
+        service: request.service,
+        instance: instance ?? null,
+        reason,
+        elapsedMs: Math.round(elapsedMs),
+        configuration: this.options.state.version,
+      },
+      requestLogger.attemptBudget(request.route),
+    );
     const status =
       reason === 'deadlineDuringRun' ? TIMEOUT_STATUS : UNKNOWN_STATUS;
     return callerHttpServer.adviceResponse(
--- a/packages/host-daemon/src/target-call.ts
+++ b/packages/host-daemon/src/target-call.ts
@@ -9,6 +9,8 @@
   readonly body: Uint8Array | AsyncIterable<Uint8Array> | null;
   readonly contentLength: number | null;
   readonly requestId: string;
+  /** 1 for the first attempt; distinguishes the attempts of one request. */
+  readonly attempt: number;
   readonly instance: string;
   readonly callerService: string;
   readonly organisation: string | null;
--- a/packages/host-daemon/src/target-client.ts
+++ b/packages/host-daemon/src/target-client.ts
@@ -1,12 +1,11 @@
-import type * as protocol from '@camphorwharf/protocol';
 import type * as routing from '@camphorwharf/routing';
 import * as runtime from '@camphorwharf/runtime';
 import * as transport from '@camphorwharf/transport';
 import type * as routedRequest from './routed-request.js';
 import type * as localTarget from './local-target.js';
+import * as attemptOutcome from './attempt-outcome.js';
 import * as requestPriority from './request-priority.js';
 import * as timerResolution from './timer-resolution.js';
-import type * as targetCall from './target-call.js';
 
 /** Maximum time after sending for which a target may still start a call. */
 const PERMISSION_LIFETIME_MS = 2_000;
@@ -17,9 +16,6 @@
 /** Time for a target to confirm that it never starts a call. */
 const MAXIMUM_QUERY_MS = 600;
 
-/** Retry delay for callers when the target gives none. */
-const DEFAULT_RETRY_AFTER_MS = 300;
-
 export interface TargetClientOptions {
   readonly clock: runtime.Clock;
   readonly metrics: Pick<runtime.Metrics, 'count'>;
@@ -32,14 +28,6 @@
   readonly local: localTarget.LocalTarget;
 }
 
-/** Result of one attempt at one target. */
-export interface AttemptOutcome {
-  readonly result: targetCall.CallResult;
-  readonly load: protocol.ReportedLoad | undefined;
-  /** Whether no byte of the call has reached the target's daemon. */
-  readonly unreachable: boolean;
-}
-
 /** Sends one attempt to its target, on this host or through a peer. */
 export class TargetClient {
   constructor(private readonly options: TargetClientOptions) {}
@@ -51,16 +39,17 @@
     request: routedRequest.RoutedRequest,
     server: routing.BackendServer,
     attemptNumber: number,
-  ): Promise<AttemptOutcome> {
+  ): Promise<attemptOutcome.AttemptOutcome> {
     return server.hostAddress === this.options.ownAddress
-      ? this.sendLocally(request, server)
+      ? this.sendLocally(request, server, attemptNumber)
       : this.sendToPeer(request, server, attemptNumber);
   }
 
   private async sendLocally(
     request: routedRequest.RoutedRequest,
     server: routing.BackendServer,
-  ): Promise<AttemptOutcome> {
+    attemptNumber: number,
+  ): Promise<attemptOutcome.AttemptOutcome> {
     const {clock, local} = this.options;
     const result = await local.run(
       {
@@ -70,6 +59,7 @@
         body: request.body,
         contentLength: request.contentLength,
         requestId: request.requestId,
+        attempt: attemptNumber,
         instance: server.instance,
         callerService: this.options.ownService,
         organisation: request.organisation?.name ?? null,
@@ -81,23 +71,29 @@
       },
       request.signal,
     );
-    return {result, load: local.load, unreachable: false};
+    const isByServer =
+      result.kind === 'answer' ||
+      (result.kind === 'refused' && result.byServer);
+    const concludedBy = isByServer ? 'backendServer' : 'thisDaemon';
+    return {result, load: local.load, unreachable: false, concludedBy};
   }
 
   private async sendToPeer(
     request: routedRequest.RoutedRequest,
     server: routing.BackendServer,
     attemptNumber: number,
-  ): Promise<AttemptOutcome> {
+  ): Promise<attemptOutcome.AttemptOutcome> {
     const {clock, peers} = this.options;
     let link: transport.PeerLink;
     try {
       link = await peers.connect(server.hostAddress, this.options.peerPort);
     } catch {
-      return unreachableOutcome();
+      return attemptOutcome.unreachableOutcome();
     }
     const remainingMs = request.deadlineMs - clock.monotonicMs();
-    if (remainingMs <= 1) return refusedOutcome('deadlineExpired');
+    if (remainingMs <= 1) {
+      return attemptOutcome.refusedOutcome('deadlineExpired', 'thisDaemon');
+    }
     const cancelSource = new runtime.CancelSource();
     const cancel = () => cancelSource.abort();
     const timer = setTimeout(
@@ -114,33 +110,46 @@
         signal: cancelSource,
       },
     );
-    const outcome = await readResult(result, this.options.bodyMemory);
+    const outcome = await attemptOutcome.readResult(
+      result,
+      this.options.bodyMemory,
+    );
     clearTimeout(timer);
     request.signal.removeEventListener('abort', cancel);
     if (outcome !== 'lost') return outcome;
     if (result.kind === 'lost' && !result.sent) {
       // The caller's cancellation says nothing about the state of the target.
       return request.signal.aborted
-        ? refusedOutcome('cancelled')
-        : unreachableOutcome();
+        ? attemptOutcome.refusedOutcome('cancelled', 'connectionNotWritten')
+        : attemptOutcome.unreachableOutcome();
     }
     if (cancelSource.aborted) {
       return {
         result: {kind: 'unknown', reason: 'deadlineDuringRun'},
         load: undefined,
         unreachable: false,
+        concludedBy: 'thisDaemon',
       };
     }
-    const isWithdrawn = await this.confirmNeverStarts(request, server, {
+    const query = await this.confirmNeverStarts(request, server, {
       requestId: request.requestId,
       attempt: attemptNumber,
       incarnation: link.remote.incarnation,
     });
-    if (isWithdrawn) return refusedOutcome('targetUnavailable');
+    const cancelVerdict = query.verdict;
+    if (query.isConfirmed) {
+      const outcome = attemptOutcome.refusedOutcome(
+        'targetUnavailable',
+        'withdrawal',
+      );
+      return {...outcome, cancelVerdict};
+    }
     return {
       result: {kind: 'unknown', reason: 'answerLost'},
       load: undefined,
       unreachable: true,
+      concludedBy: 'connectionLost',
+      cancelVerdict,
     };
   }
 
@@ -152,23 +161,25 @@
     request: routedRequest.RoutedRequest,
     server: routing.BackendServer,
     call: transport.LostCall,
-  ): Promise<boolean> {
+  ): Promise<{readonly isConfirmed: boolean; readonly verdict: string}> {
     const {clock, metrics, peerPort, peers} = this.options;
     const remainingMs = request.deadlineMs - clock.monotonicMs();
-    if (remainingMs <= 0) return false;
+    if (remainingMs <= 0) return {isConfirmed: false, verdict: 'notAsked'};
+    let verdict = 'notAnswered';
     const timeout = new AbortController();
     const isConfirmed = await Promise.race([
       transport.confirmNeverStarts(
         () => peers.connect(server.hostAddress, peerPort),
         call,
         metrics,
+        received => (verdict = received),
       ),
       clock
         .delay(Math.min(remainingMs, MAXIMUM_QUERY_MS), timeout.signal)
         .then(() => false),
     ]);
     timeout.abort();
-    return isConfirmed;
+    return {isConfirmed, verdict};
   }
 
   private outgoingCall(
@@ -206,92 +217,8 @@
   }
 }
 
-/** Reads a result to its end; returns `lost` if the response is incomplete. */
-async function readResult(
-  result: transport.PeerResult,
-  memory: transport.BodyMemory,
-): Promise<AttemptOutcome | 'lost'> {
-  switch (result.kind) {
-    case 'whole': {
-      const {status, headers, body, load} = result;
-      return {
-        result: {kind: 'answer', status, headers, body},
-        load,
-        unreachable: false,
-      };
-    }
-    case 'answer': {
-      const body = await readBody(result.body, memory);
-      if (!body) return 'lost';
-      const {status, headers} = result;
-      return {
-        result: {kind: 'answer', status, headers, body},
-        load: undefined,
-        unreachable: false,
-      };
-    }
-    case 'refused':
-      return {
-        result: {
-          kind: 'refused',
-          reason: result.reason,
-          retryAfterMs: result.retryAfterMs ?? DEFAULT_RETRY_AFTER_MS,
-          byServer: result.byServer ?? false,
-        },
-        load: result.load,
-        unreachable: false,
-      };
-    case 'unknown':
-      return {
-        result: {kind: 'unknown', reason: result.reason},
-        load: result.load,
-        unreachable: false,
-      };
-    case 'lost':
-      return 'lost';
-  }
-}
-
-/** Returns null if the body is incomplete or does not fit into the memory. */
-async function readBody(
-  body: AsyncIterable<Uint8Array>,
-  memory: transport.BodyMemory,
-): Promise<Uint8Array | null> {
-  let isEvicted = false;
-  const buffer = new transport.BodyBuffer(
-    memory.open(() => (isEvicted = true)),
-  );
-  try {
-    for await (const chunk of body) {
-      if (isEvicted || !buffer.append(chunk)) return null;
-    }
-    return isEvicted ? null : buffer.take();
-  } catch {
-    return null;
-  } finally {
-    buffer.clear();
-  }
-}
-
 function streamingBody(
   body: routedRequest.RoutedRequest['body'],
 ): AsyncIterable<Uint8Array> | null {
   return body instanceof Uint8Array ? null : body;
 }
-
-function unreachableOutcome(): AttemptOutcome {
-  return {...refusedOutcome('targetUnavailable'), unreachable: true};
-}
-
-function refusedOutcome(reason: protocol.RefusalReasonName): AttemptOutcome {
-  return {
-    result: {
-      kind: 'refused',
-      reason,
-      retryAfterMs: DEFAULT_RETRY_AFTER_MS,
-      byServer: false,
-    },
-    load: undefined,
-    unreachable: false,
-  };
-}
--- a/packages/host-daemon/src/test/local-target_test.ts
+++ b/packages/host-daemon/src/test/local-target_test.ts
@@ -18,6 +18,7 @@
   body: null,
   contentLength: null,
   requestId: 'request-1',
+  attempt: 1,
   instance: 'instance-1',
   callerService: 'shop',
   organisation: null,
--- a/packages/host-daemon/src/test/target-client_test.ts
+++ b/packages/host-daemon/src/test/target-client_test.ts
@@ -1,6 +1,7 @@
 import * as runtime from '@camphorwharf/runtime';
 import * as transport from '@camphorwharf/transport';
 import test from 'ava';
+import type * as attemptOutcome from '../attempt-outcome.js';
 import type * as localTarget from '../local-target.js';
 import * as targetClient from '../target-client.js';
 import * as sampleConfiguration from './sample-configuration.js';
@@ -22,6 +23,7 @@
   readonly sent: boolean;
   readonly kind: 'refused' | 'unknown';
   readonly unreachable: boolean;
+  readonly concludedBy: attemptOutcome.Conclusion;
   /** What the target says to a query never to start the call. */
   readonly verdict?: 'neverStarts' | 'started' | 'otherIncarnation';
 }
@@ -30,7 +32,8 @@
  * Guards against avoiding targets because callers have disconnected, against
  * returning rate limit tokens of calls that may have run, and against telling
  * callers that the outcome of a call is unknown although it provably never ran:
- * it was sent on a connection that had gone silent.
+ * it was sent on a connection that had gone silent. Also against a log that
+ * names the wrong source of a conclusion (issue 33).
  */
 const CASES: Readonly<Record<string, Case>> = {
   'the caller disconnects before the call is written': {
@@ -38,30 +41,35 @@
     sent: false,
     kind: 'refused',
     unreachable: false,
+    concludedBy: 'connectionNotWritten',
   },
   'the caller disconnects after the call was written': {
     disconnects: true,
     sent: true,
     kind: 'unknown',
     unreachable: false,
+    concludedBy: 'thisDaemon',
   },
   'the connection ends before the call is written': {
     disconnects: false,
     sent: false,
     kind: 'refused',
     unreachable: true,
+    concludedBy: 'connectionNotWritten',
   },
   'the connection ends after the call was written': {
     disconnects: false,
     sent: true,
     kind: 'unknown',
     unreachable: true,
+    concludedBy: 'connectionLost',
   },
   'the target confirms that it never starts the call': {
     disconnects: false,
     sent: true,
     kind: 'refused',
     unreachable: false,
+    concludedBy: 'withdrawal',
     verdict: 'neverStarts',
   },
   'the target has started the call': {
@@ -69,6 +77,7 @@
     sent: true,
     kind: 'unknown',
     unreachable: true,
+    concludedBy: 'connectionLost',
     verdict: 'started',
   },
   'another process answers for the target': {
@@ -76,6 +85,7 @@
     sent: true,
     kind: 'unknown',
     unreachable: true,
+    concludedBy: 'connectionLost',
     verdict: 'otherIncarnation',
   },
 };
@@ -129,6 +139,10 @@
     );
     t.is(attempt.result.kind, testCase.kind);
     t.is(attempt.unreachable, testCase.unreachable);
+    t.is(attempt.concludedBy, testCase.concludedBy);
+    const isAsked = testCase.sent && !testCase.disconnects;
+    const verdict = testCase.verdict ?? 'unreachable';
+    t.is(attempt.cancelVerdict, isAsked ? verdict : undefined);
     if (testCase.verdict === undefined) return;
     t.deepEqual(queries, [
       {
--- a/packages/transport/src/call-cancellation.ts
+++ b/packages/transport/src/call-cancellation.ts
@@ -16,12 +16,14 @@
  * Asks a target, over a connection other than the one that was lost, never to
  * start a call. Returns true if the incarnation that received the call confirms
  * that it has not started and never will; replies of other incarnations and
- * failures prove nothing. Never rejects.
+ * failures prove nothing. `onVerdict` receives the verdict that is counted.
+ * Never rejects.
  */
 export async function confirmNeverStarts(
   connect: () => Promise<peer.PeerLink>,
   call: LostCall,
   metrics: Pick<runtime.Metrics, 'count'>,
+  onVerdict: (verdict: string) => void = () => undefined,
 ): Promise<boolean> {
   let verdict = 'unreachable';
   try {
@@ -39,5 +41,6 @@
     'Queries that ask a target never to start a call, by verdict.',
     {verdict},
   );
+  onVerdict(verdict);
   return verdict === 'neverStarts';
 }
