Deny an instance only after two 421 responses, and for 2 s

Cause: LocalTargetState kept an instance denied from the first 421 on, until its start time changed.

Change: an instance is denied after a second 421 without a complete response of that instance in between. The denial ends after 2 s, so that the next call asks again; another 421 then renews it at once. A complete response clears it. The call that got the 421 is refused as before, because it has not run. Calls to an address that has passed to another server are still refused, all but about one in 2 s.

--- a/packages/host-daemon/src/local-backend-client.ts
+++ b/packages/host-daemon/src/local-backend-client.ts
@@ -133,7 +133,10 @@
     if (load !== null) state.applyReportedLoad(binding.parseLoad(load));
     switch (verdict.kind) {
       case 'misdirected':
-        state.recordMisdirected(call.instance);
+        state.recordMisdirected(
+          call.instance,
+          this.options.clock.monotonicMs(),
+        );
         return targetCall.refusedResult('targetUnavailable', 0, true);
       case 'refused':
         return targetCall.refusedResult(
@@ -142,6 +145,7 @@
           true,
         );
       case 'complete': {
+        state.recordAnswered(call.instance);
         const {status, headers, body} = response;
         return {kind: 'answer', status, headers, body};
       }
--- a/packages/host-daemon/src/local-target-state.ts
+++ b/packages/host-daemon/src/local-target-state.ts
@@ -13,22 +13,34 @@
 const ACCEPTING_DRAIN_RATIO = 0.4;
 
 /**
- * Maximum number of denied instances that are kept. Instances at one address
+ * Maximum number of instances whose denials are kept. Instances at one address
  * replace each other, and calls name only the latest few of them.
  */
 const MAXIMUM_DENIED = 64;
 
+/**
+ * Time for which calls to a denied instance are refused. Afterwards the next
+ * call asks again, so that a server that was denied by mistake is used again,
+ * and a replaced one gets a call in vain once in this time.
+ */
+const DENIAL_MS = 2_000;
+
+/** Responses that denied to come from an instance. */
+interface Denial {
+  /** An instance may restart under the same name. */
+  readonly startedAtMs: number | null;
+  /** Null after a single response, which may be a stray one. */
+  readonly endsMs: number | null;
+}
+
 /** What the daemon knows about the backend server of its own host. */
 export class LocalTargetState {
   private currentInstance: string | null = null;
   private removedSinceMs: number | null = null;
   private drainingSinceMs: number | null = null;
   private slotCount = INITIAL_SLOTS;
-  /**
-   * Instances that the backend server has reported not to be, with their start
-   * time, because an instance may restart under the same name.
-   */
-  private readonly denied = new Map<string, number | null>();
+  /** By instance. */
+  private readonly denials = new Map<string, Denial>();
   private directory: routing.BackendServerDirectory | null = null;
 
   constructor(
@@ -65,21 +77,35 @@
     }
   }
 
-  /** Records that the backend server has reported not to be this instance. */
-  recordMisdirected(instance: string): void {
-    if (this.denied.size >= MAXIMUM_DENIED) this.denied.clear();
-    this.denied.set(instance, this.startTimeOf(instance));
+  /**
+   * Records that the backend server has reported not to be this instance. Calls
+   * are refused from the second report without `recordAnswered` in between.
+   */
+  recordMisdirected(instance: string, nowMs: number): void {
+    const startedAtMs = this.startTimeOf(instance);
+    const earlier = this.denials.get(instance);
+    const isRepeated = earlier?.startedAtMs === startedAtMs;
+    if (!earlier && this.denials.size >= MAXIMUM_DENIED) this.denials.clear();
+    const endsMs = isRepeated ? nowMs + DENIAL_MS : null;
+    this.denials.set(instance, {startedAtMs, endsMs});
+  }
+
+  /** Records that the backend server has run a call to this instance. */
+  recordAnswered(instance: string): void {
+    this.denials.delete(instance);
   }
 
   /**
    * Whether the backend server may be this instance. Calls to any other
    * instance are refused without sending them to the backend server.
    */
-  mayServe(instance: string): boolean {
-    const deniedStartMs = this.denied.get(instance);
+  mayServe(instance: string, nowMs: number): boolean {
+    const denial = this.denials.get(instance);
     return (
-      deniedStartMs === undefined ||
-      deniedStartMs !== this.startTimeOf(instance)
+      denial === undefined ||
+      denial.endsMs === null ||
+      nowMs >= denial.endsMs ||
+      denial.startedAtMs !== this.startTimeOf(instance)
     );
   }
 
--- a/packages/host-daemon/src/local-target.ts
+++ b/packages/host-daemon/src/local-target.ts
@@ -77,7 +77,7 @@
     if (!state.acceptsWork(arrivedMs)) {
       return targetCall.refusedResult('targetLeaving', 0);
     }
-    if (!state.mayServe(call.instance)) {
+    if (!state.mayServe(call.instance, arrivedMs)) {
       return targetCall.refusedResult('targetUnavailable', 0);
     }
     const deadlineMs = arrivedMs + call.remainingMs;
--- a/packages/host-daemon/src/test/local-target_test.ts
+++ b/packages/host-daemon/src/test/local-target_test.ts
@@ -159,6 +159,93 @@
   });
 }
 
+type SampleResponse = readonly [
+  status: number,
+  headers: ReadonlyArray<readonly [string, string]>,
+];
+
+const ID = ['X-Request', CALL.requestId] as const;
+const MISDIRECTED: SampleResponse = [421, [ID, ['X-Not-Run', '1']]];
+const STRAY: SampleResponse = [
+  421,
+  [
+    ['X-Request', 'request-0'],
+    ['X-Not-Run', '1'],
+  ],
+];
+const SUCCESS: SampleResponse = [200, [ID, ['X-Proof', 'proof']]];
+const FULL: SampleResponse = [503, [ID, ['X-Not-Run', '1']]];
+const FAILURE: SampleResponse = [500, [ID]];
+
+/**
+ * Guards against taking a sound server out of use because of one stray response
+ * (issue 33): each call gets the next response, unless it is not sent.
+ */
+const MISDIRECTIONS: ReadonlyArray<
+  readonly [
+    string,
+    readonly SampleResponse[],
+    ReadonlyArray<targetCall.CallResult['kind'] | 'notSent'>,
+  ]
+> = [
+  [
+    'the next call is sent after one',
+    [MISDIRECTED, SUCCESS, SUCCESS],
+    ['refused', 'answer', 'answer'],
+  ],
+  [
+    'no call is sent after two',
+    [MISDIRECTED, MISDIRECTED, SUCCESS, SUCCESS],
+    ['refused', 'refused', 'notSent', 'notSent'],
+  ],
+  [
+    'a success between two clears the first',
+    [MISDIRECTED, SUCCESS, MISDIRECTED, SUCCESS],
+    ['refused', 'answer', 'refused', 'answer'],
+  ],
+  [
+    'a failure between two clears the first',
+    [MISDIRECTED, FAILURE, MISDIRECTED, SUCCESS],
+    ['refused', 'answer', 'refused', 'answer'],
+  ],
+  [
+    'a refusal between two clears nothing',
+    [MISDIRECTED, FULL, MISDIRECTED, SUCCESS],
+    ['refused', 'refused', 'refused', 'notSent'],
+  ],
+  [
+    'one for another request is none',
+    [MISDIRECTED, STRAY, SUCCESS],
+    ['refused', 'unknown', 'answer'],
+  ],
+];
+for (const [name, responses, expected] of MISDIRECTIONS) {
+  test(`calls after responses of another instance: ${name}`, async t => {
+    const stop = new runtime.CancelSource();
+    const clock = new laggingClock.LaggingClock([0], stop);
+    let sent = 0;
+    const target = createTarget(clock, null, () => {
+      const [status, headers] = responses[sent++];
+      return Promise.resolve({
+        kind: 'answer',
+        status,
+        headers,
+        body: Buffer.alloc(0),
+        hasTrailingBytes: false,
+        connection: {uses: 1, ageMs: 0},
+      });
+    });
+    await target.monitor.run(stop);
+    const kinds: string[] = [];
+    while (kinds.length < responses.length) {
+      const sentBefore = sent;
+      const {kind} = await target.run(CALL, new runtime.CancelSource());
+      kinds.push(sent === sentBefore ? 'notSent' : kind);
+    }
+    t.deepEqual(kinds, [...expected]);
+  });
+}
+
 /** A local target whose backend server reports this load. */
 function createTarget(
   clock: runtime.Clock,
