Take a call whose response has begun as one that may have run

Cause: when the connection to a target's daemon ended within a response of more than one frame, TargetClient asked whether the target never starts the call. The answer `neverStarts` is also given after the entry of a call that ran has expired, and was believed although a part of the response had arrived.

Change: the target is not asked; the outcome is `answerLost`.

--- a/packages/host-daemon/src/attempt-outcome.ts
+++ b/packages/host-daemon/src/attempt-outcome.ts
@@ -111,6 +111,16 @@
   };
 }
 
+/** The connection ended after the call was written, so it may have run. */
+export function lostOutcome(): AttemptOutcome {
+  return {
+    result: {kind: 'unknown', reason: 'answerLost'},
+    load: undefined,
+    unreachable: true,
+    concludedBy: 'connectionLost',
+  };
+}
+
 /** The call has not run and never will. */
 export function refusedOutcome(
   reason: protocol.RefusalReasonName,
--- a/packages/host-daemon/src/target-client.ts
+++ b/packages/host-daemon/src/target-client.ts
@@ -131,6 +131,8 @@
         concludedBy: 'thisDaemon',
       };
     }
+    // The call has started: its response has begun.
+    if (result.kind !== 'lost') return attemptOutcome.lostOutcome();
     const query = await this.confirmNeverStarts(request, server, {
       requestId: request.requestId,
       attempt: attemptNumber,
@@ -144,13 +146,7 @@
       );
       return {...outcome, cancelVerdict};
     }
-    return {
-      result: {kind: 'unknown', reason: 'answerLost'},
-      load: undefined,
-      unreachable: true,
-      concludedBy: 'connectionLost',
-      cancelVerdict,
-    };
+    return {...attemptOutcome.lostOutcome(), cancelVerdict};
   }
 
   /**
--- a/packages/host-daemon/src/test/target-client_test.ts
+++ b/packages/host-daemon/src/test/target-client_test.ts
@@ -106,37 +106,7 @@
         return Promise.resolve({kind: 'lost', sent: testCase.sent});
       },
     } as unknown as transport.PeerLink;
-    const client = new targetClient.TargetClient({
-      clock: new runtime.ManualClock(),
-      metrics: new runtime.Metrics(),
-      bodyMemory: new transport.BodyMemory(),
-      peers: {connect: () => Promise.resolve(link)} as never,
-      peerPort: 7_000,
-      ownAddress: '10.0.0.1',
-      ownService: 'shop',
-      local: {} as localTarget.LocalTarget,
-    });
-    const [route] = sampleConfiguration.fleetConfiguration().routes;
-    const attempt = await client.send(
-      {
-        requestId: 'request-1',
-        method: 'GET',
-        path: '/parts/7',
-        headers: [],
-        body: null,
-        contentLength: null,
-        route,
-        service: 'parts',
-        organisation: null,
-        nested: true,
-        priority: 1,
-        deadlineMs: 1_000,
-        arrivedMs: 0,
-        signal: caller,
-      },
-      SERVER,
-      1,
-    );
+    const attempt = await send(link, caller);
     t.is(attempt.result.kind, testCase.kind);
     t.is(attempt.unreachable, testCase.unreachable);
     t.is(attempt.concludedBy, testCase.concludedBy);
@@ -154,3 +124,72 @@
     ]);
   });
 }
+
+test('a call whose response began has run, whatever its target says later', async t => {
+  // Guards against running a request twice (rule TWICE, issue 33): the target
+  // keeps no entry of the call any more when it is asked about it.
+  const queries: unknown[] = [];
+  const response: transport.PeerResult = {
+    kind: 'answer',
+    status: 200,
+    headers: [],
+    contentLength: 4,
+    body: brokenBody(),
+    trailer: new Promise(() => undefined),
+  };
+  const link = {
+    remote: {incarnation: 'incarnation-1'},
+    request: (query: unknown) => {
+      queries.push(query);
+      return Promise.resolve({kind: 'cancelAnswer', verdict: 'neverStarts'});
+    },
+    call: () => Promise.resolve(response),
+  } as unknown as transport.PeerLink;
+  const {result, concludedBy} = await send(link, new runtime.CancelSource());
+  t.deepEqual(result, {kind: 'unknown', reason: 'answerLost'});
+  t.is(concludedBy, 'connectionLost');
+  t.deepEqual(queries, []);
+});
+
+/** Sends a request that may be repeated to a target behind this connection. */
+function send(
+  link: transport.PeerLink,
+  caller: runtime.CancelSource,
+): Promise<attemptOutcome.AttemptOutcome> {
+  const client = new targetClient.TargetClient({
+    clock: new runtime.ManualClock(),
+    metrics: new runtime.Metrics(),
+    bodyMemory: new transport.BodyMemory(),
+    peers: {connect: () => Promise.resolve(link)} as never,
+    peerPort: 7_000,
+    ownAddress: '10.0.0.1',
+    ownService: 'shop',
+    local: {} as localTarget.LocalTarget,
+  });
+  const [route] = sampleConfiguration.fleetConfiguration().routes;
+  return client.send(
+    {
+      requestId: 'request-1',
+      method: 'GET',
+      path: '/parts/7',
+      headers: [],
+      body: null,
+      contentLength: null,
+      route,
+      service: 'parts',
+      organisation: null,
+      nested: true,
+      priority: 1,
+      deadlineMs: 1_000,
+      arrivedMs: 0,
+      signal: caller,
+    },
+    SERVER,
+    1,
+  );
+}
+
+async function* brokenBody(): AsyncGenerator<Uint8Array> {
+  yield Buffer.from('be');
+  throw new runtime.ConnectionError('The connection ended.');
+}
