Close a connection after a response that was rejected

Callers saw: 502 for two requests or more after one late copy of an earlier response on a connection that was in use again.

Cause: the exchange returned its connection to the idle ones before ResponseValidator judged the response. The next request on it got the response to the one before, whose id gave it away, and was rejected as well.

Change: LocalBackendClient passes the judgement to the exchange (isExpected). A connection with a rejected response closes instead of becoming idle.

--- a/packages/host-daemon/src/local-backend-client.ts
+++ b/packages/host-daemon/src/local-backend-client.ts
@@ -70,6 +70,8 @@
       maximumIdleMs: call.idempotent
         ? IDLE_LIMIT_MS
         : NON_IDEMPOTENT_IDLE_LIMIT_MS,
+      isExpected: response =>
+        this.validator.validate(call, response).kind !== 'rejected',
     });
     const cancel = () => exchange.cancel();
     const timer = setTimeout(
@@ -119,7 +121,7 @@
 
   private interpretResponse(
     call: targetCall.TargetCall,
-    response: transport.BufferedExchangeResult & {kind: 'answer'},
+    response: transport.BufferedResponse,
   ): targetCall.CallResult {
     const {binding, state} = this.options;
     const verdict = this.validator.validate(call, response);
--- a/packages/transport/src/buffered-exchange-handler.ts
+++ b/packages/transport/src/buffered-exchange-handler.ts
@@ -26,8 +26,19 @@
    * have closed it and a non-idempotent request cannot be retried.
    */
   readonly maximumIdleMs: number;
+  /**
+   * Whether this is the response to this request. After any other, the
+   * connection closes, because the right one may still follow on it. By default
+   * every response is.
+   */
+  readonly isExpected?: (response: BufferedResponse) => boolean;
 }
 
+/** A whole response to a request to the backend server. */
+export type BufferedResponse = BufferedExchangeResult & {
+  readonly kind: 'answer';
+};
+
 /** The result of a request to the backend server. */
 export type BufferedExchangeResult =
   | {
@@ -71,6 +82,7 @@
   private interimResponses = 0;
   private settled = false;
   private failure: Error | null = null;
+  private isExpected: BufferedExchangeRequest['isExpected'];
 
   constructor(
     private readonly connection: serverConnection.ServerConnection,
@@ -84,6 +96,7 @@
   }
 
   start(client: undici.Client, request: BufferedExchangeRequest): void {
+    this.isExpected = request.isExpected;
     const headers = request.headers.flatMap(([name, value]) => [name, value]);
     const hasStreamedBody =
       request.body !== null && !(request.body instanceof Uint8Array);
@@ -231,17 +244,21 @@
   private complete(body: Uint8Array): void {
     const {connection} = this;
     const {hasTrailingBytes, uses} = connection;
-    this.releaseConnection(
-      !this.connectionClose && !hasTrailingBytes && connection.isOpen,
-    );
-    this.resolve({
+    const response: BufferedResponse = {
       kind: 'answer',
       status: this.status,
       headers: this.headers,
       body,
       hasTrailingBytes,
       connection: {uses, ageMs: this.nowMs() - connection.openedMs},
-    });
+    };
+    this.releaseConnection(
+      !this.connectionClose &&
+        !hasTrailingBytes &&
+        connection.isOpen &&
+        (this.isExpected?.(response) ?? true),
+    );
+    this.resolve(response);
   }
 
   private countInterimResponse(): void {
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -51,5 +51,6 @@
   BufferedExchange,
   BufferedExchangeRequest,
   BufferedExchangeResult,
+  BufferedResponse,
 } from './buffered-exchange-handler.js';
 export type {ConnectionUse} from './server-connection.js';
