End a planned stop although nobody reads the log

Cause: the last lines were written with a call that waits for their reader. A write that waits in a thread also holds up `process.exit`, which joins the threads.

Change: the last write has 0.2 s.

--- a/packages/runtime/src/line-writer.ts
+++ b/packages/runtime/src/line-writer.ts
@@ -3,6 +3,9 @@
 /** Lines are buffered for this long, so that one system call writes many. */
 const FLUSH_INTERVAL_MS = 100;
 
+/** Time after which a write at the end of the process counts as blocked. */
+const FLUSH_LIMIT_MS = 200;
+
 /** Lines beyond this are dropped, so that a slow reader cannot grow memory. */
 const MAXIMUM_BUFFERED_BYTES = 256 * 1024;
 
@@ -17,6 +20,8 @@
   private droppedLines = 0;
   private writeInProgress = false;
   private flushTimer: NodeJS.Timeout | null = null;
+  /** Called when all lines are written. */
+  private onWritten: (() => void) | null = null;
 
   constructor(private readonly fileDescriptor: number) {}
 
@@ -33,22 +38,34 @@
     ).unref();
   }
 
-  /** Writes the buffered lines before the process exits; may block. */
-  flush(): void {
-    try {
-      fs.writeSync(this.fileDescriptor, this.takeBuffered());
-    } catch {
-      // The log itself cannot be written, so the error cannot be reported.
-    }
+  /**
+   * Writes the buffered lines before the process exits. Resolves with whether
+   * the reader has taken them in time. If it has not, a thread waits for it, for
+   * which `process.exit` waits in turn.
+   */
+  flush(): Promise<boolean> {
+    return new Promise(resolve => {
+      const timer = setTimeout(() => resolve(false), FLUSH_LIMIT_MS);
+      this.onWritten = () => {
+        clearTimeout(timer);
+        resolve(true);
+      };
+      this.writeBuffered();
+    });
   }
 
   private writeBuffered(): void {
     this.flushTimer = null;
-    if (this.writeInProgress || this.lines.length === 0) return;
+    if (this.writeInProgress) return;
+    if (this.lines.length === 0) {
+      this.onWritten?.();
+      return;
+    }
     this.writeInProgress = true;
+    // An error of the log cannot be reported.
     fs.write(this.fileDescriptor, this.takeBuffered(), () => {
       this.writeInProgress = false;
-      if (this.lines.length > 0) this.writeBuffered();
+      this.writeBuffered();
     });
   }
 
