Count a planned stop from the earliest time of its signal

Operators saw a process that was still there at the end of the grace and was killed. This is a second way to it; that it is the one they saw is not shown.

Cause: a stop that waits for work ends 5.3 s after the process handles SIGTERM, but the process is killed 6 s after it was sent. A process that is starting, stands still or has no processor time handles it later.

Change: the stop counts from the earliest time at which the signal may have been sent: the lag of the event loop at the last sample or since, and before the first sample the start of the process.

Not played on a site.

--- a/packages/host-daemon/src/host-daemon-options.ts
+++ b/packages/host-daemon/src/host-daemon-options.ts
@@ -37,6 +37,8 @@
   readonly settings: HostDaemonSettings;
   readonly clock: runtime.Clock;
   readonly random: runtime.RandomSource;
+  /** Monotonic time at which the process started, before its code was loaded. */
+  readonly processStartedMs: number;
   readonly logger: runtime.Logger;
   readonly metrics: runtime.Metrics;
   readonly binding: httpBinding.HttpBinding;
--- a/packages/host-daemon/src/host-daemon.ts
+++ b/packages/host-daemon/src/host-daemon.ts
@@ -208,9 +208,9 @@
       handler: request => handler.handle(request),
     });
     this.gracefulStop = new gracefulStop.GracefulStop({
-      clock,
-      logger,
+      ...options,
       schedule: this.stopSchedule,
+      monitor: this.local.monitor,
       clientRequests: () => this.server.runningCount,
       peerCalls: () => peerHandler.runningCalls,
       announce: () => {
--- a/packages/host-daemon/src/load-monitor.ts
+++ b/packages/host-daemon/src/load-monitor.ts
@@ -44,6 +44,7 @@
    * input.
    */
   private lastLagMs = Infinity;
+  private nextSampleMs = Infinity;
   private smoothedBusyShare = 0;
   private isUnderPressure = false;
 
@@ -72,6 +73,14 @@
     return this.lastLagMs > LAG_THRESHOLD_MS;
   }
 
+  /**
+   * Longest time for which input that is read now may have waited for this
+   * process, in milliseconds; infinite before the first sample.
+   */
+  inputAgeMs(nowMs: number): number {
+    return Math.max(0, this.lastLagMs, nowMs - this.nextSampleMs);
+  }
+
   recordArrival(): void {
     this.serviceControl.noteArrival();
   }
@@ -106,6 +115,7 @@
     const {clock} = this.options;
     while (!stop.aborted) {
       const dueMs = clock.monotonicMs() + SAMPLE_INTERVAL_MS;
+      this.nextSampleMs = dueMs;
       await clock.delay(SAMPLE_INTERVAL_MS, stop);
       const nowMs = clock.monotonicMs();
       // Work waits in the scheduler's queue even if the timer fires on time.
--- a/packages/host-daemon/src/test/fleet-fixture.ts
+++ b/packages/host-daemon/src/test/fleet-fixture.ts
@@ -272,6 +272,7 @@
       },
       clock: new runtime.SystemClock(),
       random: new runtime.SeededRandom(this.hosts.length + 1),
+      processStartedMs: nowMs(),
       logger: {
         ...runtime.silentLogger,
         info: (event, fields) => void logLines.push({event, fields}),
