Promise never to start a call only while its entry would be held

A request that must run once could run twice: the daemon at which it had entered lost its connection to the target's daemon, stood still for some seconds (a suspended machine, whose steady clock doesn't count that time), and then asked the target never to start the call. The target had dropped the entry of the call, which had run, took the absence for "never started", and the call was sent to a second target.

Cause: entries end by the target's clock, 4 s after the start or 1 s after the deadline, and the asker asks within a deadline that ends by its own.

Change: hello frames, and once a second heartbeats, carry a reading of their sender's clock. A lost call keeps the last one that had arrived before it was sent, and the query returns it (sentAfterMs). A started call was recorded after that reading and is kept for at least 15 s, so the register answers neverStarts only within 15 s of it, by its own clock, and otherwise the new verdict "unknown". 15 s covers idle heartbeats (silence of 4.4 s at most), the detection of a loss and calls of several seconds; at 500 calls/s it holds 7,500 of 50,000 entries. A call whose response had begun is not asked about any more. Both handlers share the answer.

Peers of both versions: the fields are optional and unknown fields are ignored. An older asker, without a reading, gets "started", which it treats as "may have run"; it would reject "unknown". An older target, which sends no readings, is not asked (verdict olderPeer), since it also promises after entries have expired. Until all daemons are of this version, lost calls that did not run are reported as unknown.

Weighed and not chosen: the asker states the age of its call, or refuses to ask after some seconds (its clock has not counted the time); the time of day (it may jump, and back); the target keeps the heartbeat times of closed connections and the query names a heartbeat (state without a bound); longer retention alone (any suspension beyond it has the same result). A reading in each heartbeat would have taken a member of a cell of 33 to 27,015 B/s by calculation, above its limit of 27,000 B/s; once a second it is 25,767 B/s (25,351 before), printed by the test of that limit, which now counts it.

The mutation staleCancelAnswered, a register that ignores the age, runs a call twice in the model. Its neighbour lateCallAccepted delays frames by 18 s now, since a tombstone lasts for 15 s and the former 6 s no longer exposed the mutation. Three tests of lost calls compared the whole result; they check the added field.

--- a/packages/coordination/src/control-request-handler.ts
+++ b/packages/coordination/src/control-request-handler.ts
@@ -1,4 +1,4 @@
-import type * as ownership from '@camphorwharf/ownership';
+import * as ownership from '@camphorwharf/ownership';
 import type * as protocol from '@camphorwharf/protocol';
 import type * as runtime from '@camphorwharf/runtime';
 import type * as transport from '@camphorwharf/transport';
@@ -7,8 +7,9 @@
 import type * as hostDirectory from './host-directory.js';
 
 /**
- * How long the tombstone of a cancelled call is kept. It outlasts the 2 s after
- * which the call's permission ends and a late call frame is refused anyway.
+ * Time for which the tombstone of a cancelled call is kept. It outlasts the time
+ * for which a call frame can be accepted and for which an accepted call waits
+ * for admission.
  */
 export const TOMBSTONE_TTL_MS = 60_000;
 
@@ -74,16 +75,13 @@
     nowMs: number,
   ): protocol.CancelAnswer {
     const {incarnation, startedCalls} = this.options;
-    if (body.incarnation !== incarnation) {
-      return {kind: 'cancelAnswer', verdict: 'otherIncarnation'};
-    }
-    const verdict = startedCalls.cancelIfNotStarted(
-      body.requestId,
-      body.attempt,
+    return ownership.answerCancelQuery(
+      body,
+      startedCalls,
+      incarnation,
       nowMs + TOMBSTONE_TTL_MS,
       nowMs,
     );
-    return {kind: 'cancelAnswer', verdict};
   }
 
   /** Accepts a departure notice only from the host that leaves. */
--- a/packages/coordination/src/test/cell-task_test.ts
+++ b/packages/coordination/src/test/cell-task_test.ts
@@ -185,7 +185,8 @@
 });
 
 // Guards against control traffic above the limit of 27 KB/s per daemon.
-// Heartbeats are sent four times a second on one connection per pair of hosts.
+// Heartbeats are sent four times a second on one connection per pair of hosts,
+// one of them with a reading of the clock.
 test('a member of a cell of 33 stays within its control traffic limit', async t => {
   const fleet = await startCell(61_001, 33, 9_000);
   t.is(ownersOf(fleet).length, 1);
@@ -193,12 +194,19 @@
   fleet.network.sentBytes = bytes;
   const seconds = 4;
   await fleet.clock.advance(seconds * 1_000);
-  const heartbeat = protocol.encodeFrame({
+  const heartbeat = {
     kind: 'heartbeat',
     number: 100_000,
     acknowledged: 100_000,
-  });
-  const heartbeats = heartbeat.length * 4 * 32;
+  } as const;
+  const clockMs = 100_000_000;
+  const lengths = [
+    heartbeat,
+    heartbeat,
+    heartbeat,
+    {...heartbeat, clockMs},
+  ].map(frame => protocol.encodeFrame(frame).length);
+  const heartbeats = lengths.reduce((sum, length) => sum + length) * 32;
   const maximum = Math.max(...bytes.values()) / seconds + heartbeats;
   t.log(`${Math.round(maximum)} B/s, of them ${heartbeats} in heartbeats`);
   t.true(maximum <= 27_000, `${maximum} B/s`);
--- a/packages/daemon/src/call-router.ts
+++ b/packages/daemon/src/call-router.ts
@@ -250,10 +250,13 @@
           );
         }
         const neverStarts = await this.confirmNeverStarts(
-          request.context.requestId,
-          attempt,
+          {
+            requestId: request.context.requestId,
+            attempt,
+            incarnation: link.remote.incarnation,
+            sentAfterMs: result.sentAfterMs,
+          },
           host,
-          link.remote.incarnation,
         );
         if (neverStarts) return attemptResult.notRun('targetUnavailable');
         return attemptResult.mayHaveRun(
@@ -269,17 +272,15 @@
    * never starts; replies of other incarnations prove nothing.
    */
   private async confirmNeverStarts(
-    requestId: string,
-    attempt: number,
+    call: transport.LostCall,
     host: declaration.HostEntry,
-    incarnation: string,
   ): Promise<boolean> {
     const {metrics, peers} = this.options;
     let link: transport.PeerLink | null = null;
     const isConfirmed = await transport.confirmNeverStarts(
       async () =>
         (link = await peers.connectUnshared(host.address, host.peerPort)),
-      {requestId, attempt, incarnation},
+      call,
       metrics,
     );
     (link as transport.PeerLink | null)?.close('query finished');
--- a/packages/daemon/src/test/call-router_test.ts
+++ b/packages/daemon/src/test/call-router_test.ts
@@ -219,6 +219,7 @@
       requestId: 'request-1',
       attempt: 2,
       incarnation: 'incarnation-of-host-1',
+      sentAfterMs: 7_000,
     },
   ]);
 });
--- a/packages/daemon/src/test/fake-peers.ts
+++ b/packages/daemon/src/test/fake-peers.ts
@@ -36,7 +36,11 @@
 }
 
 export const lostBeforeSend: transport.PeerResult = {kind: 'lost', sent: false};
-export const lostAfterSend: transport.PeerResult = {kind: 'lost', sent: true};
+export const lostAfterSend: transport.PeerResult = {
+  kind: 'lost',
+  sent: true,
+  sentAfterMs: 7_000,
+};
 
 export type CancelVerdict = Extract<
   protocol.ControlReply,
--- a/packages/daemon/src/test/target-handler_test.ts
+++ b/packages/daemon/src/test/target-handler_test.ts
@@ -193,11 +193,13 @@
   t.is(controller.inFlight, 0);
 });
 
+const CANCELLED_CALL = {requestId: 'request-1', attempt: 1, sentAfterMs: 0};
+
 test('target: refuses a cancelled attempt', async t => {
   // Guards against running an attempt after proof that it never starts.
   const {handler, requests, startedCalls, controller} = createHandler();
   t.is(
-    startedCalls.cancelIfNotStarted('request-1', 1, 9_000, 0),
+    startedCalls.cancelIfNotStarted(CANCELLED_CALL, 9_000, 0),
     'neverStarts',
   );
   const {call, ends} = incoming();
@@ -212,7 +214,7 @@
   const {handler, startedCalls} = createHandler({
     send: request => {
       t.is(
-        startedCalls.cancelIfNotStarted('request-1', 1, 9_000, 0),
+        startedCalls.cancelIfNotStarted(CANCELLED_CALL, 9_000, 0),
         'started',
       );
       return answering(request);
--- a/packages/host-daemon/src/peer-request-handler.ts
+++ b/packages/host-daemon/src/peer-request-handler.ts
@@ -1,4 +1,4 @@
-import type * as ownership from '@camphorwharf/ownership';
+import * as ownership from '@camphorwharf/ownership';
 import type * as protocol from '@camphorwharf/protocol';
 import type * as runtime from '@camphorwharf/runtime';
 import type * as transport from '@camphorwharf/transport';
@@ -8,9 +8,7 @@
 import type * as stopSchedule from './stop-schedule.js';
 import type * as targetCall from './target-call.js';
 
-/**
- * Time after their deadline for which started calls and tombstones are kept.
- */
+/** Time after their deadline for which started calls are kept. */
 const CALL_RETENTION_MARGIN_MS = 1_000;
 
 /**
@@ -136,19 +134,14 @@
     const {clock, incarnation, startedCalls} = this.options;
     switch (body.kind) {
       case 'cancelIfNotStarted': {
-        if (body.incarnation !== incarnation) {
-          return {kind: 'cancelAnswer', verdict: 'otherIncarnation'};
-        }
         const nowMs = clock.monotonicMs();
-        return {
-          kind: 'cancelAnswer',
-          verdict: startedCalls.cancelIfNotStarted(
-            body.requestId,
-            body.attempt,
-            nowMs + CALL_RETENTION_MARGIN_MS,
-            nowMs,
-          ),
-        };
+        return ownership.answerCancelQuery(
+          body,
+          startedCalls,
+          incarnation,
+          nowMs + CALL_RETENTION_MARGIN_MS,
+          nowMs,
+        );
       }
       case 'configurationDigest':
         return this.options.reporter().answerStateQuery(body);
--- a/packages/host-daemon/src/target-client.ts
+++ b/packages/host-daemon/src/target-client.ts
@@ -131,11 +131,15 @@
         unreachable: false,
       };
     }
-    const isWithdrawn = await this.confirmNeverStarts(request, server, {
-      requestId: request.requestId,
-      attempt: attemptNumber,
-      incarnation: link.remote.incarnation,
-    });
+    // A call whose response has begun has started.
+    const isWithdrawn =
+      result.kind === 'lost' &&
+      (await this.confirmNeverStarts(request, server, {
+        requestId: request.requestId,
+        attempt: attemptNumber,
+        incarnation: link.remote.incarnation,
+        sentAfterMs: result.sentAfterMs,
+      }));
     if (isWithdrawn) return refusedOutcome('targetUnavailable');
     return {
       result: {kind: 'unknown', reason: 'answerLost'},
--- a/packages/host-daemon/src/test/target-client_test.ts
+++ b/packages/host-daemon/src/test/target-client_test.ts
@@ -23,7 +23,11 @@
   readonly kind: 'refused' | 'unknown';
   readonly unreachable: boolean;
   /** What the target says to a query never to start the call. */
-  readonly verdict?: 'neverStarts' | 'started' | 'otherIncarnation';
+  readonly verdict?: 'neverStarts' | 'started' | 'unknown' | 'otherIncarnation';
+  /** Whether the target sends no readings of its clock. */
+  readonly isOlder?: boolean;
+  /** Whether the response has begun when the connection ends. */
+  readonly hasBegun?: boolean;
 }
 
 /**
@@ -71,6 +75,29 @@
     unreachable: true,
     verdict: 'started',
   },
+  'the target cannot tell whether it has started the call': {
+    disconnects: false,
+    sent: true,
+    kind: 'unknown',
+    unreachable: true,
+    verdict: 'unknown',
+  },
+  'a target of an older version confirms it': {
+    disconnects: false,
+    sent: true,
+    kind: 'unknown',
+    unreachable: true,
+    verdict: 'neverStarts',
+    isOlder: true,
+  },
+  'the response began, and the target no longer has an entry': {
+    disconnects: false,
+    sent: true,
+    kind: 'unknown',
+    unreachable: true,
+    verdict: 'neverStarts',
+    hasBegun: true,
+  },
   'another process answers for the target': {
     disconnects: false,
     sent: true,
@@ -93,7 +120,12 @@
       },
       call: () => {
         if (testCase.disconnects) caller.abort();
-        return Promise.resolve({kind: 'lost', sent: testCase.sent});
+        if (testCase.hasBegun) return Promise.resolve(lostResponse());
+        return Promise.resolve({
+          kind: 'lost',
+          sent: testCase.sent,
+          ...(testCase.isOlder ? {} : {sentAfterMs: 7_000}),
+        });
       },
     } as unknown as transport.PeerLink;
     const client = new targetClient.TargetClient({
@@ -130,13 +162,33 @@
     t.is(attempt.result.kind, testCase.kind);
     t.is(attempt.unreachable, testCase.unreachable);
     if (testCase.verdict === undefined) return;
-    t.deepEqual(queries, [
+    const expected = [
       {
         kind: 'cancelIfNotStarted',
         requestId: 'request-1',
         attempt: 1,
         incarnation: 'incarnation-1',
+        sentAfterMs: 7_000,
       },
-    ]);
+    ];
+    const isAsked = !testCase.isOlder && !testCase.hasBegun;
+    t.deepEqual(queries, isAsked ? expected : []);
   });
 }
+
+/** A response whose body is lost with its connection. */
+function lostResponse(): transport.PeerResult {
+  const error = new runtime.ConnectionError('The connection has ended.');
+  const trailer = Promise.reject<transport.ResponseTrailer>(error);
+  trailer.catch(() => undefined);
+  return {
+    kind: 'answer',
+    status: 200,
+    headers: [],
+    contentLength: 9,
+    body: (async function* (): AsyncGenerator<Uint8Array> {
+      await trailer;
+    })(),
+    trailer,
+  };
+}
--- a/packages/model-check/src/call-client.ts
+++ b/packages/model-check/src/call-client.ts
@@ -112,6 +112,7 @@
         this.endCall(requestId, call, 'notRun', context);
       } else if (call.phase === 'calling') {
         const target = call.targets[call.attempt];
+        const callSentMs = call.phaseStartedMs;
         call.phase = 'cancelling';
         call.phaseStartedMs = context.nowMs;
         context.send(target.hostId, {
@@ -119,6 +120,7 @@
           requestId,
           attempt: call.attempt,
           incarnation: target.incarnation,
+          callSentMs,
         });
       } else {
         this.endCall(requestId, call, 'unknown', context);
--- a/packages/model-check/src/daemon.ts
+++ b/packages/model-check/src/daemon.ts
@@ -225,15 +225,15 @@
       environment.send(from, {kind: 'callAnswer', requestId, attempt, ran});
     } else if (body.kind === 'cancel') {
       const {requestId, attempt} = body;
-      const verdict =
-        body.incarnation === this.identity.incarnation
-          ? this.calls.cancelIfNotStarted(
-              requestId,
-              attempt,
-              keepUntilMs,
-              localMs,
-            )
-          : 'otherIncarnation';
+      // Stands for a reading that the entry daemon received before the call.
+      const sentAfterMs = this.localMs(body.callSentMs);
+      const {verdict} = ownership.answerCancelQuery(
+        {...body, kind: 'cancelIfNotStarted', sentAfterMs},
+        this.calls,
+        this.identity.incarnation,
+        keepUntilMs,
+        localMs,
+      );
       environment.send(from, {
         kind: 'cancelAnswer',
         requestId,
--- a/packages/model-check/src/messages.ts
+++ b/packages/model-check/src/messages.ts
@@ -45,6 +45,8 @@
       readonly requestId: string;
       readonly attempt: number;
       readonly incarnation: string;
+      /** Model time at which the call was sent. */
+      readonly callSentMs: number;
     }
   | {
       readonly kind: 'cancelAnswer';
--- a/packages/model-check/src/mutations.ts
+++ b/packages/model-check/src/mutations.ts
@@ -82,6 +82,18 @@
   }
 }
 
+/** Answers however old the query is. */
+class AgelessCancelRegister extends ownership.CallRegister {
+  override cancelIfNotStarted(
+    call: ownership.CancelledCall,
+    keepUntilMs: number,
+    nowMs: number,
+  ): 'neverStarts' | 'started' | 'unknown' {
+    const current = {...call, sentAfterMs: nowMs};
+    return super.cancelIfNotStarted(current, keepUntilMs, nowMs);
+  }
+}
+
 /** Ignores view histories, and views received before joining the first one. */
 class HistoryIgnoringMember extends ownership.CellMember {
   override answerPing(
@@ -232,10 +244,21 @@
     {calls: () => new UnrecordedCancelRegister()},
     [delayFrom('a', 1_500), callAt('a'), 10],
   ),
+  staleCancelAnswered: defineMutation(
+    'ran 2 times',
+    {calls: () => new AgelessCancelRegister()},
+    [
+      {kind: 'lose', from: 'b', durationMs: 18_000},
+      callAt('a'),
+      1,
+      {kind: 'pause', host: 'a', durationMs: 18_000},
+      50,
+    ],
+  ),
   lateCallAccepted: defineMutation('ran 2 times', {acceptsCall: () => true}, [
-    delayFrom('a', 6_000),
+    delayFrom('a', 18_000),
     callAt('a'),
-    14,
+    40,
   ]),
   formerOwnersKeysAccepted: defineMutation(
     'ran 2 times',
--- a/packages/ownership/src/call-register.ts
+++ b/packages/ownership/src/call-register.ts
@@ -42,24 +42,30 @@
       : 'tableFull';
   }
 
-  /** Returns `started` when the table is too full to record a tombstone. */
+  /** Returns `unknown` when the table is too full to record a tombstone. */
   cancelIfNotStarted(
-    requestId: string,
-    attempt: number,
+    call: interfaces.CancelledCall,
     keepUntilMs: number,
     nowMs: number,
-  ): 'neverStarts' | 'started' {
-    const key = callKey(requestId, attempt);
+  ): 'neverStarts' | 'started' | 'unknown' {
+    const key = callKey(call.requestId, call.attempt);
     if (this.entries.get(key, nowMs) === 'started') return 'started';
+    const {sentAfterMs} = call;
+    // A call that has started may have been recorded right after this reading.
+    const mayHaveExpired =
+      sentAfterMs === undefined ||
+      sentAfterMs > nowMs ||
+      nowMs >= sentAfterMs + constants.CALL_RETENTION_MS;
+    if (mayHaveExpired) return 'unknown';
     const retainUntilMs = retentionEndMs(keepUntilMs, nowMs);
     const isRecorded = this.entries.set(key, 'tombstone', retainUntilMs, nowMs);
-    return isRecorded ? 'neverStarts' : 'started';
+    return isRecorded ? 'neverStarts' : 'unknown';
   }
 }
 
 /** A call frame in flight may still be accepted within its permission. */
 function retentionEndMs(keepUntilMs: number, nowMs: number): number {
-  return Math.max(keepUntilMs, nowMs + 2 * constants.PERMISSION_LIFETIME_MS);
+  return Math.max(keepUntilMs, nowMs + constants.CALL_RETENTION_MS);
 }
 
 function callKey(requestId: string, attempt: number): string {
--- a/packages/ownership/src/constants.ts
+++ b/packages/ownership/src/constants.ts
@@ -57,8 +57,16 @@
 
 export const KEY_RECORD_LIMIT = 200_000;
 
+/** Maximum number of entries of a call register: 3,300 calls per second. */
 export const STARTED_CALL_LIMIT = 50_000;
 
+/**
+ * Minimum time for which a started call or a tombstone is recorded. Queries
+ * within 15 s of the reading of the target's clock that the call was sent after
+ * can be answered.
+ */
+export const CALL_RETENTION_MS = 15_000;
+
 /** Maximum number of organisations with a bucket at one owner. */
 export const BUCKET_LIMIT = 10_000;
 
--- a/packages/ownership/src/index.ts
+++ b/packages/ownership/src/index.ts
@@ -3,9 +3,11 @@
 export type {BucketsOptions} from './buckets.js';
 export {CallRegister} from './call-register.js';
 export type {CallRegisterOptions} from './call-register.js';
+export {answerCancelQuery} from './cancel-answer.js';
 export {CellMember} from './cell-member.js';
 export type {CellMemberOptions} from './cell-member.js';
 export {
+  CALL_RETENTION_MS,
   CELL_MEMBER_LIMIT,
   CONTACT_LEASE_MS,
   GRANT_COVERAGE_MS,
--- a/packages/ownership/src/interfaces.ts
+++ b/packages/ownership/src/interfaces.ts
@@ -102,6 +102,12 @@
   readonly size: number;
 }
 
+/** A call that its sender asks the target never to start. */
+export type CancelledCall = Pick<
+  protocol.CancelIfNotStarted,
+  'requestId' | 'attempt' | 'sentAfterMs'
+>;
+
 /** Calls that a target's daemon has started or promised never to start. */
 export interface StartedCalls {
   /** Must be called immediately before a call is sent to the backend server. */
@@ -111,11 +117,15 @@
     keepUntilMs: number,
     nowMs: number,
   ): 'start' | 'duplicate' | 'tombstoned' | 'tableFull';
+  /**
+   * Returns `neverStarts` only if a started call would still be recorded:
+   * `sentAfterMs` is a reading of this process's clock before the call was
+   * sent, so the call was recorded after it.
+   */
   cancelIfNotStarted(
-    requestId: string,
-    attempt: number,
+    call: CancelledCall,
     keepUntilMs: number,
     nowMs: number,
-  ): 'neverStarts' | 'started';
+  ): 'neverStarts' | 'started' | 'unknown';
   readonly size: number;
 }
--- /dev/null
+++ b/packages/ownership/src/test/cancel-answer_test.ts
@@ -0,0 +1,54 @@
+import type * as protocol from '@camphorwharf/protocol';
+import test from 'ava';
+import * as callRegister from '../call-register.js';
+import * as cancelAnswer from '../cancel-answer.js';
+
+interface Case {
+  readonly incarnation?: string;
+  readonly sentAfterMs?: number;
+  readonly nowMs: number;
+  readonly verdict: protocol.CancelAnswer['verdict'];
+}
+
+/**
+ * Guards against a promise that an older peer gets on the word of its own
+ * clock, and against a verdict at which an older peer closes the connection.
+ */
+const CASES: Readonly<Record<string, Case>> = {
+  'a query with a reading of the clock': {
+    sentAfterMs: 100,
+    nowMs: 200,
+    verdict: 'neverStarts',
+  },
+  'a query with an old reading of the clock': {
+    sentAfterMs: 100,
+    nowMs: 60_000,
+    verdict: 'unknown',
+  },
+  'a query of an older peer': {nowMs: 200, verdict: 'started'},
+  'a query for another process': {
+    incarnation: 'b',
+    sentAfterMs: 100,
+    nowMs: 200,
+    verdict: 'otherIncarnation',
+  },
+};
+for (const [name, row] of Object.entries(CASES)) {
+  test(`answer to ${name}`, t => {
+    const {incarnation = 'a', sentAfterMs, nowMs} = row;
+    const answer = cancelAnswer.answerCancelQuery(
+      {
+        kind: 'cancelIfNotStarted',
+        requestId: 'r',
+        attempt: 1,
+        incarnation,
+        ...(sentAfterMs === undefined ? {} : {sentAfterMs}),
+      },
+      new callRegister.CallRegister(),
+      'a',
+      nowMs,
+      nowMs,
+    );
+    t.deepEqual(answer, {kind: 'cancelAnswer', verdict: row.verdict});
+  });
+}
--- a/packages/protocol/src/control-messages.ts
+++ b/packages/protocol/src/control-messages.ts
@@ -119,10 +119,19 @@
   readonly attempt: number;
   /** The target incarnation to which the call was sent. */
   readonly incarnation: string;
+  /**
+   * The last `clockMs` that the target had sent before the call was sent.
+   * Without it, the target promises nothing.
+   */
+  readonly sentAfterMs?: number;
 }
 export interface CancelAnswer {
   readonly kind: 'cancelAnswer';
-  readonly verdict: 'neverStarts' | 'started' | 'otherIncarnation';
+  /**
+   * `unknown`: the call may have run, but its entry may have expired. Older
+   * peers reject it, so it only answers queries with `sentAfterMs`.
+   */
+  readonly verdict: 'neverStarts' | 'started' | 'unknown' | 'otherIncarnation';
 }
 
 export interface ConfigurationDigest {
--- a/packages/protocol/src/control-schemas.ts
+++ b/packages/protocol/src/control-schemas.ts
@@ -117,6 +117,7 @@
       ['requestId', schema.isString],
       ['attempt', schema.isUint],
       ['incarnation', schema.isString],
+      ['sentAfterMs', schema.optional(schema.isUint)],
     ],
   ],
   [
@@ -180,7 +181,12 @@
   ],
   [
     'cancelAnswer',
-    [['verdict', schema.oneOf('neverStarts', 'started', 'otherIncarnation')]],
+    [
+      [
+        'verdict',
+        schema.oneOf('neverStarts', 'started', 'unknown', 'otherIncarnation'),
+      ],
+    ],
   ],
   [
     'configurationAnswer',
--- a/packages/protocol/src/frame-schemas.ts
+++ b/packages/protocol/src/frame-schemas.ts
@@ -47,16 +47,13 @@
   ['remainingMs', schema.isFiniteNumber],
 ]);
 
-const optional = (check: schema.Predicate): schema.Predicate => {
-  return value => value === undefined || check(value);
-};
 const isLoad = schema.objectOf([
   ['running', schema.isUint],
   ['waiting', schema.isUint],
   ['slots', schema.isUint],
-  ['busyShare', optional(schema.isNonNegative)],
-  ['pressure', optional(schema.isNonNegative)],
-  ['downstreamPressure', optional(schema.isNonNegative)],
+  ['busyShare', schema.optional(schema.isNonNegative)],
+  ['pressure', schema.optional(schema.isNonNegative)],
+  ['downstreamPressure', schema.optional(schema.isNonNegative)],
 ]);
 
 const outcomeFields: schema.Schema = [
@@ -78,6 +75,7 @@
       ['incarnation', schema.isString],
       ['service', schema.isString],
       ['availabilityZone', schema.isString],
+      ['clockMs', schema.optional(schema.isUint)],
     ],
   ],
   [
@@ -85,6 +83,7 @@
     [
       ['number', schema.isUint],
       ['acknowledged', schema.isUint],
+      ['clockMs', schema.optional(schema.isUint)],
     ],
   ],
   [
@@ -100,11 +99,11 @@
       ['hasBody', schema.isBoolean],
       ['context', isContext],
       ['permission', isPermission],
-      ['wholeBody', optional(schema.isBytes)],
-      ['instance', optional(schema.isString)],
-      ['callerService', optional(schema.isString)],
-      ['objectiveMs', optional(schema.isNonNegative)],
-      ['nested', optional(schema.isBoolean)],
+      ['wholeBody', schema.optional(schema.isBytes)],
+      ['instance', schema.optional(schema.isString)],
+      ['callerService', schema.optional(schema.isString)],
+      ['objectiveMs', schema.optional(schema.isNonNegative)],
+      ['nested', schema.optional(schema.isBoolean)],
     ],
   ],
   [
@@ -141,7 +140,7 @@
       ['status', isStatus],
       ['headers', isHeaderList],
       ['body', schema.isBytes],
-      ['load', optional(isLoad)],
+      ['load', schema.optional(isLoad)],
       ...outcomeFields,
     ],
   ],
@@ -162,9 +161,9 @@
       ['call', schema.isUint],
       ['reason', schema.keyOf(outcomes.RefusalReason)],
       ['final', schema.isBoolean],
-      ['load', optional(isLoad)],
-      ['retryAfterMs', optional(schema.isNonNegative)],
-      ['byServer', optional(schema.isBoolean)],
+      ['load', schema.optional(isLoad)],
+      ['retryAfterMs', schema.optional(schema.isNonNegative)],
+      ['byServer', schema.optional(schema.isBoolean)],
       ...outcomeFields,
     ],
   ],
--- a/packages/protocol/src/frames.ts
+++ b/packages/protocol/src/frames.ts
@@ -17,12 +17,20 @@
   readonly incarnation: string;
   readonly service: string;
   readonly availabilityZone: string;
+  /** Sender's monotonic clock in whole milliseconds; see `Heartbeat`. */
+  readonly clockMs?: number;
 }
 export interface Heartbeat {
   readonly kind: 'heartbeat';
   readonly number: number;
   /** The highest heartbeat number received from the peer; initially 0. */
   readonly acknowledged: number;
+  /**
+   * Sender's monotonic clock in whole milliseconds. The receiver compares it
+   * with nothing and returns it in `CancelIfNotStarted`. Not in each heartbeat,
+   * and absent from older peers.
+   */
+  readonly clockMs?: number;
 }
 
 /**
--- a/packages/protocol/src/schema.ts
+++ b/packages/protocol/src/schema.ts
@@ -32,6 +32,11 @@
   return value => value === null || check(value);
 }
 
+/** The field is absent or valid. */
+export function optional(check: Predicate): Predicate {
+  return value => value === undefined || check(value);
+}
+
 /** The value is the name of an own property of `keySource`. */
 export function keyOf(keySource: object): Predicate {
   const allowed = new Set(Object.keys(keySource));
--- a/packages/protocol/src/test/frame-arbitraries.ts
+++ b/packages/protocol/src/test/frame-arbitraries.ts
@@ -88,6 +88,16 @@
     revision: uint,
     document: string,
   }),
+  fc.record(
+    {
+      kind: literal('cancelIfNotStarted'),
+      requestId: string,
+      attempt: uint,
+      incarnation: string,
+      sentAfterMs: uint,
+    },
+    {requiredKeys: ['kind', 'requestId', 'attempt', 'incarnation']},
+  ),
   fc.record({kind: literal('status')}),
 );
 
@@ -109,7 +119,11 @@
   }),
   fc.record({
     kind: literal('cancelAnswer'),
-    verdict: fc.constantFrom('neverStarts' as const, 'started' as const),
+    verdict: fc.constantFrom(
+      'neverStarts' as const,
+      'started' as const,
+      'unknown' as const,
+    ),
   }),
   fc.record({
     kind: literal('statusAnswer'),
@@ -120,16 +134,38 @@
 
 /** Frames of all kinds except `wholeAnswer` and `report`. */
 export const frame: fc.Arbitrary<protocol.Frame> = fc.oneof(
-  fc.record({
-    kind: literal('hello'),
-    versionMinimum: uint,
-    versionMaximum: uint,
-    hostId: string,
-    incarnation: string,
-    service: string,
-    availabilityZone: string,
-  }),
-  fc.record({kind: literal('heartbeat'), number: uint, acknowledged: uint}),
+  fc.record(
+    {
+      kind: literal('hello'),
+      versionMinimum: uint,
+      versionMaximum: uint,
+      hostId: string,
+      incarnation: string,
+      service: string,
+      availabilityZone: string,
+      clockMs: uint,
+    },
+    {
+      requiredKeys: [
+        'kind',
+        'versionMinimum',
+        'versionMaximum',
+        'hostId',
+        'incarnation',
+        'service',
+        'availabilityZone',
+      ],
+    },
+  ),
+  fc.record(
+    {
+      kind: literal('heartbeat'),
+      number: uint,
+      acknowledged: uint,
+      clockMs: uint,
+    },
+    {requiredKeys: ['kind', 'number', 'acknowledged']},
+  ),
   fc.record({
     kind: literal('call'),
     call: uint,
--- a/packages/transport/src/call-cancellation.ts
+++ b/packages/transport/src/call-cancellation.ts
@@ -1,3 +1,4 @@
+import type * as protocol from '@camphorwharf/protocol';
 import type * as runtime from '@camphorwharf/runtime';
 import type * as peer from './peer-interfaces.js';
 
@@ -10,6 +11,8 @@
   readonly attempt: number;
   /** Incarnation of the process that received the call. */
   readonly incarnation: string;
+  /** See `PeerResult`. */
+  readonly sentAfterMs: number | undefined;
 }
 
 /**
@@ -17,23 +20,19 @@
  * start a call. Returns true if the incarnation that received the call confirms
  * that it has not started and never will; replies of other incarnations and
  * failures prove nothing. Never rejects.
+ *
+ * A target that sends no readings of its clock is not asked: it is of an older
+ * version, which also promises this after the entry of a call has expired.
  */
 export async function confirmNeverStarts(
   connect: () => Promise<peer.PeerLink>,
   call: LostCall,
   metrics: Pick<runtime.Metrics, 'count'>,
 ): Promise<boolean> {
-  let verdict = 'unreachable';
-  try {
-    const link = await connect();
-    const reply = await link.request(
-      {kind: 'cancelIfNotStarted', ...call},
-      QUERY_TIMEOUT_MS,
-    );
-    if (reply.kind === 'cancelAnswer') verdict = reply.verdict;
-  } catch {
-    verdict = 'unreachable';
-  }
+  const verdict =
+    call.sentAfterMs === undefined
+      ? 'olderPeer'
+      : await askTarget(connect, {kind: 'cancelIfNotStarted', ...call});
   metrics.count(
     'cancel_queries_total',
     'Queries that ask a target never to start a call, by verdict.',
@@ -41,3 +40,16 @@
   );
   return verdict === 'neverStarts';
 }
+
+async function askTarget(
+  connect: () => Promise<peer.PeerLink>,
+  query: protocol.CancelIfNotStarted,
+): Promise<protocol.CancelAnswer['verdict'] | 'unreachable'> {
+  try {
+    const link = await connect();
+    const reply = await link.request(query, QUERY_TIMEOUT_MS);
+    return reply.kind === 'cancelAnswer' ? reply.verdict : 'unreachable';
+  } catch {
+    return 'unreachable';
+  }
+}
--- a/packages/transport/src/call-table.ts
+++ b/packages/transport/src/call-table.ts
@@ -91,6 +91,7 @@
     body: AsyncIterable<Uint8Array> | null,
     permission: protocol.SendPermission,
     signal: runtime.CancelSignal,
+    sentAfterMs?: number,
   ): Promise<peer.PeerResult> {
     if (
       signal.aborted ||
@@ -106,6 +107,7 @@
       id,
       head.attempt,
       signal,
+      sentAfterMs,
     );
     this.outgoing.set(id, exchange);
     if (body) void exchange.sendBody(body);
--- a/packages/transport/src/heartbeat-state.ts
+++ b/packages/transport/src/heartbeat-state.ts
@@ -11,6 +11,12 @@
  */
 const MAXIMUM_PERMISSION_MS = 2_000;
 
+/**
+ * Minimum time between two readings of the clock in heartbeats. Each takes 13
+ * bytes, and a daemon with 32 peers spends 27 KB/s on control at most.
+ */
+const CLOCK_READING_INTERVAL_MS = 1_000;
+
 /**
  * Part of the idle interval after which a heartbeat is due, as the timer that
  * checks it may fire early.
@@ -35,6 +41,9 @@
   private lastFrameAtMs = 0;
   /** Time between the last two heartbeats of the remote end. */
   private remoteIntervalMs = 0;
+  /** The last reading of its clock that the remote end has sent. */
+  private remoteClockMs: number | undefined;
+  private lastReadingSentAtMs: number;
   private lastSentAtMs: number;
   /** Time since which calls are in flight; null without any. */
   private busySinceMs: number | null = null;
@@ -42,6 +51,7 @@
   constructor(helloSentAtMs: number) {
     this.sentAtMs[0] = helloSentAtMs;
     this.lastSentAtMs = helloSentAtMs;
+    this.lastReadingSentAtMs = helloSentAtMs;
   }
 
   /**
@@ -61,9 +71,15 @@
     );
   }
 
-  recordHello(nowMs: number): void {
+  /** See `protocol.Heartbeat.clockMs`; undefined with an older remote end. */
+  get lastRemoteClockMs(): number | undefined {
+    return this.remoteClockMs;
+  }
+
+  recordHello(hello: Pick<protocol.Hello, 'clockMs'>, nowMs: number): void {
     this.lastReceivedAtMs = nowMs;
     this.lastFrameAtMs = nowMs;
+    this.remoteClockMs = hello.clockMs;
   }
 
   recordFrame(nowMs: number): void {
@@ -75,11 +91,16 @@
     this.lastSent++;
     this.sentAtMs[this.lastSent % TRACKED_HEARTBEATS] = nowMs;
     this.lastSentAtMs = nowMs;
-    return {
+    const heartbeat = {
       kind: 'heartbeat',
       number: this.lastSent,
       acknowledged: this.lastReceived,
-    };
+    } as const;
+    if (nowMs - this.lastReadingSentAtMs < CLOCK_READING_INTERVAL_MS) {
+      return heartbeat;
+    }
+    this.lastReadingSentAtMs = nowMs;
+    return {...heartbeat, clockMs: clockReading(nowMs)};
   }
 
   /** Returns false when the heartbeat is a duplicate or out of order. */
@@ -93,6 +114,7 @@
     this.lastReceived = heartbeat.number;
     this.remoteIntervalMs = nowMs - this.lastReceivedAtMs;
     this.lastReceivedAtMs = nowMs;
+    this.remoteClockMs = heartbeat.clockMs ?? this.remoteClockMs;
     this.acknowledged = Math.max(this.acknowledged, heartbeat.acknowledged);
     return true;
   }
@@ -114,9 +136,9 @@
   }
 
   /**
-   * Whether the permission of a call from the remote end has not expired. The expiry time
-   * is computed from the time at which this end sent the heartbeat. The remote
-   * end received it later, so the receiver's expiry is never after the
+   * Whether the permission of a call from the remote end has not expired. The
+   * expiry time is computed from the time at which this end sent the heartbeat.
+   * The remote end received it later, so the receiver's expiry is not after the
    * sender's.
    */
   isValid(permission: protocol.SendPermission, nowMs: number): boolean {
@@ -155,3 +177,8 @@
     return isSilentSince(oldestSentAtMs) ? 'output' : null;
   }
 }
+
+/** Rounded down, so that it is never after the instant that it stands for. */
+export function clockReading(nowMs: number): number {
+  return Math.floor(nowMs);
+}
--- a/packages/transport/src/outgoing-exchange.ts
+++ b/packages/transport/src/outgoing-exchange.ts
@@ -25,6 +25,7 @@
     private readonly id: number,
     private readonly attempt: number,
     private readonly signal: runtime.CancelSignal,
+    private readonly sentAfterMs?: number,
   ) {
     this.result = new Promise(resolve => {
       this.resolveResult = resolve;
@@ -170,7 +171,12 @@
   fail(error: Error): void {
     if (this.finished) return;
     this.finish();
-    this.resolveResult({kind: 'lost', sent: true});
+    const {sentAfterMs} = this;
+    this.resolveResult({
+      kind: 'lost',
+      sent: true,
+      ...(sentAfterMs === undefined ? {} : {sentAfterMs}),
+    });
     this.responseBody?.fail(error);
     this.rejectTrailer(error);
   }
--- a/packages/transport/src/peer-connection.ts
+++ b/packages/transport/src/peer-connection.ts
@@ -4,6 +4,7 @@
 import * as bodyMemory from './body-memory.js';
 import * as callTable from './call-table.js';
 import * as connectionClose from './connection-close.js';
+import * as connectionHello from './connection-hello.js';
 import * as connectionTelemetry from './connection-telemetry.js';
 import * as frameWriter from './frame-writer.js';
 import * as heartbeatState from './heartbeat-state.js';
@@ -51,7 +52,8 @@
     this.writer = new frameWriter.FrameWriter(socket, () =>
       this.end('outputFull'),
     );
-    this.heartbeats = new heartbeatState.HeartbeatState(clock.monotonicMs());
+    const helloSentAtMs = clock.monotonicMs();
+    this.heartbeats = new heartbeatState.HeartbeatState(helloSentAtMs);
     this.calls = new callTable.CallTable({
       writer: this.writer,
       memory: options.bodyMemory ?? new bodyMemory.BodyMemory(),
@@ -68,12 +70,7 @@
       onHandlerError: error =>
         this.telemetry.recordHandlerError('request', error),
     });
-    this.writer.write({
-      kind: 'hello',
-      versionMinimum: protocol.PROTOCOL_VERSION_MINIMUM,
-      versionMaximum: protocol.PROTOCOL_VERSION_MAXIMUM,
-      ...hello,
-    });
+    this.writer.write(connectionHello.createHello(hello, helloSentAtMs));
   }
 
   /**
@@ -130,7 +127,13 @@
       this.options.clock.monotonicMs(),
       callOptions.permissionMs,
     );
-    return this.calls.start(head, body, permission, callOptions.signal);
+    return this.calls.start(
+      head,
+      body,
+      permission,
+      callOptions.signal,
+      this.heartbeats.lastRemoteClockMs,
+    );
   }
 
   report(report: Readonly<Record<string, unknown>>): void {
@@ -186,25 +189,13 @@
   }
 
   private acceptHello(frame: protocol.DecodedFrame): void {
-    if (frame.kind !== 'hello') {
-      throw new runtime.ProtocolError(
-        `The first frame is "${frame.kind}" where "hello" is required. Check ` +
-          'that the remote end is a camphorwharf daemon.',
-      );
-    }
-    const version = protocol.negotiateVersion(
-      {
-        versionMinimum: protocol.PROTOCOL_VERSION_MINIMUM,
-        versionMaximum: protocol.PROTOCOL_VERSION_MAXIMUM,
-      },
-      frame,
-    );
-    if (version === null) {
+    const hello = connectionHello.readHello(frame);
+    if (hello === null) {
       this.end('versionMismatch');
       return;
     }
-    this.remoteHello = frame;
-    this.heartbeats.recordHello(this.options.clock.monotonicMs());
+    this.remoteHello = hello;
+    this.heartbeats.recordHello(hello, this.options.clock.monotonicMs());
     void this.sendHeartbeats();
     this.onHandshakeDone(null);
   }
--- a/packages/transport/src/peer-interfaces.ts
+++ b/packages/transport/src/peer-interfaces.ts
@@ -56,8 +56,14 @@
     } & ResponseTrailer)
   /**
    * The connection ended first. `sent`: whether any byte may have been sent.
+   * `sentAfterMs`: the last reading of its clock that the remote end had sent
+   * before the call; absent if it is an older peer.
    */
-  | {readonly kind: 'lost'; readonly sent: boolean};
+  | {
+      readonly kind: 'lost';
+      readonly sent: boolean;
+      readonly sentAfterMs?: number;
+    };
 
 /** One peer connection. Both ends may send calls and control requests. */
 export interface PeerLink {
--- a/packages/transport/src/test/heartbeat-state_test.ts
+++ b/packages/transport/src/test/heartbeat-state_test.ts
@@ -70,7 +70,7 @@
 for (const [name, row] of Object.entries(CASES)) {
   test(`liveness of a connection: ${name}`, t => {
     const state = new heartbeatState.HeartbeatState(0);
-    state.recordHello(0);
+    state.recordHello({}, 0);
     let number = 0;
     for (const {atMs, kind} of row.events) {
       switch (kind) {
@@ -89,3 +89,31 @@
     t.is(state.isDue(row.checkMs, IDLE_INTERVAL_MS), row.due);
   });
 }
+
+/**
+ * Guards against a reading that is after the call, after which the target takes
+ * an entry that has expired for one that never was, against readings so old
+ * that the target can tell nothing, and against their cost in each heartbeat.
+ */
+test('readings of the clock are rounded down and sent once a second', t => {
+  const receiver = new heartbeatState.HeartbeatState(0);
+  const readings = [250.9, 500.9, 750.9, 1_000.9, 1_250.9, 3_250.9].map(
+    atMs => receiver.nextHeartbeat(atMs).clockMs,
+  );
+  t.deepEqual(readings, [
+    undefined,
+    undefined,
+    undefined,
+    1_000,
+    undefined,
+    3_250,
+  ]);
+});
+
+test('a heartbeat without a reading keeps the last one', t => {
+  // Guards against calls whose target can tell nothing for want of a reading.
+  const state = new heartbeatState.HeartbeatState(0);
+  state.recordHello({clockMs: 40}, 0);
+  t.true(state.receive({kind: 'heartbeat', number: 1, acknowledged: 0}, 10));
+  t.is(state.lastRemoteClockMs, 40);
+});
--- a/packages/transport/src/test/peer-fixture.ts
+++ b/packages/transport/src/test/peer-fixture.ts
@@ -148,6 +148,17 @@
   };
 }
 
+/** For a remote end that sends readings of a system clock. */
+export function assertLostAfterSend(
+  t: ava.ExecutionContext,
+  result: transport.PeerResult,
+): void {
+  if (result.kind !== 'lost') return t.fail(result.kind);
+  const {sentAfterMs, ...rest} = result;
+  t.deepEqual(rest, {kind: 'lost', sent: true});
+  t.true(Number.isSafeInteger(sentAfterMs));
+}
+
 /** A peer whose frames are written by the test. */
 export class RawPeer {
   readonly received: protocol.DecodedFrame[] = [];
--- a/packages/transport/src/test/peer_call_test.ts
+++ b/packages/transport/src/test/peer_call_test.ts
@@ -343,7 +343,7 @@
   await link.request({kind: 'status'}, 60_000);
   t.is(running, transport.MAXIMUM_CONCURRENT_CALLS);
   for (const abort of aborts) abort.abort();
-  t.deepEqual(await pending[0], {kind: 'lost', sent: true});
+  fixture.assertLostAfterSend(t, await pending[0]);
   t.true(link.idle);
   t.is(listener.connections.size, 1);
 });
--- a/packages/transport/src/test/peer_flow_test.ts
+++ b/packages/transport/src/test/peer_flow_test.ts
@@ -122,13 +122,13 @@
     yield Buffer.from('abc');
     throw new runtime.ConnectionError('The caller has disconnected.');
   }
-  t.deepEqual(
+  fixture.assertLostAfterSend(
+    t,
     await pair.caller.call(
       fixture.callHead({path: '/source', hasBody: true}),
       failing(),
       fixture.callOptions(),
     ),
-    {kind: 'lost', sent: true},
   );
   await pair.caller.request({kind: 'status'}, 600_000);
   while (ended.length < 3) await new Promise(resolve => setImmediate(resolve));
@@ -198,7 +198,7 @@
   await first.request({kind: 'status'}, 600_000);
   relay.emit('silence');
   await clock.advance(1_000);
-  t.deepEqual(await calling, {kind: 'lost', sent: true});
+  t.deepEqual(await calling, {kind: 'lost', sent: true, sentAfterMs: 0});
   t.is(await first.ended, 'silent');
   const unshared = await pool.connectUnshared('127.0.0.1', port);
   const reply = await unshared.request({kind: 'status'}, 600_000);
