--- a/packages/host-daemon/src/target-client.ts
+++ b/packages/host-daemon/src/target-client.ts
@@ -137,6 +137,7 @@
       requestId: request.requestId,
       attempt: attemptNumber,
       incarnation: link.remote.incarnation,
+      sentAfterMs: result.sentAfterMs,
     });
     const cancelVerdict = query.verdict;
     if (query.isConfirmed) {
--- a/packages/host-daemon/src/test/target-client_test.ts
+++ b/packages/host-daemon/src/test/target-client_test.ts
@@ -25,7 +25,11 @@
   readonly unreachable: boolean;
   readonly concludedBy: attemptOutcome.Conclusion;
   /** What the target says to a query never to start the call. */
-  readonly verdict?: 'neverStarts' | 'started' | 'otherIncarnation';
+  readonly verdict?: 'neverStarts' | 'started' | 'unknown' | 'otherIncarnation';
+  /** Whether the target sends no readings of its clock. */
+  readonly isOlder?: boolean;
+  /** Whether the response has begun when the connection ends. */
+  readonly hasBegun?: boolean;
 }
 
 /**
@@ -80,6 +84,32 @@
     concludedBy: 'connectionLost',
     verdict: 'started',
   },
+  'the target cannot tell whether it has started the call': {
+    disconnects: false,
+    sent: true,
+    kind: 'unknown',
+    unreachable: true,
+    concludedBy: 'connectionLost',
+    verdict: 'unknown',
+  },
+  'a target of an older version confirms it': {
+    disconnects: false,
+    sent: true,
+    kind: 'unknown',
+    unreachable: true,
+    concludedBy: 'connectionLost',
+    verdict: 'neverStarts',
+    isOlder: true,
+  },
+  'the response began, and the target no longer has an entry': {
+    disconnects: false,
+    sent: true,
+    kind: 'unknown',
+    unreachable: true,
+    concludedBy: 'connectionLost',
+    verdict: 'neverStarts',
+    hasBegun: true,
+  },
   'another process answers for the target': {
     disconnects: false,
     sent: true,
@@ -103,25 +133,36 @@
       },
       call: () => {
         if (testCase.disconnects) caller.abort();
-        return Promise.resolve({kind: 'lost', sent: testCase.sent});
+        if (testCase.hasBegun) return Promise.resolve(lostResponse());
+        return Promise.resolve({
+          kind: 'lost',
+          sent: testCase.sent,
+          ...(testCase.isOlder ? {} : {sentAfterMs: 7_000}),
+        });
       },
     } as unknown as transport.PeerLink;
     const attempt = await send(link, caller);
     t.is(attempt.result.kind, testCase.kind);
     t.is(attempt.unreachable, testCase.unreachable);
     t.is(attempt.concludedBy, testCase.concludedBy);
-    const isAsked = testCase.sent && !testCase.disconnects;
-    const verdict = testCase.verdict ?? 'unreachable';
-    t.is(attempt.cancelVerdict, isAsked ? verdict : undefined);
+    const isConsidered =
+      testCase.sent && !testCase.disconnects && !testCase.hasBegun;
+    const verdict = testCase.isOlder
+      ? 'olderPeer'
+      : (testCase.verdict ?? 'unreachable');
+    t.is(attempt.cancelVerdict, isConsidered ? verdict : undefined);
     if (testCase.verdict === undefined) return;
-    t.deepEqual(queries, [
+    const expected = [
       {
         kind: 'cancelIfNotStarted',
         requestId: 'request-1',
         attempt: 1,
         incarnation: 'incarnation-1',
+        sentAfterMs: 7_000,
       },
-    ]);
+    ];
+    const isAsked = !testCase.isOlder && !testCase.hasBegun;
+    t.deepEqual(queries, isAsked ? expected : []);
   });
 }
 
@@ -193,3 +234,20 @@
   yield Buffer.from('be');
   throw new runtime.ConnectionError('The connection ended.');
 }
+
+/** A response whose body is lost with its connection. */
+function lostResponse(): transport.PeerResult {
+  const error = new runtime.ConnectionError('The connection has ended.');
+  const trailer = Promise.reject<transport.ResponseTrailer>(error);
+  trailer.catch(() => undefined);
+  return {
+    kind: 'answer',
+    status: 200,
+    headers: [],
+    contentLength: 9,
+    body: (async function* (): AsyncGenerator<Uint8Array> {
+      await trailer;
+    })(),
+    trailer,
+  };
+}
