Let a tombstone outlive each frame whose permission may be valid

A call that its target had promised never to start could still start, and so run twice, when its frame came late: the permission of a call counts from a heartbeat of the receiver, plus the time since that heartbeat as the sender measured it, plus 2 s.

Change: the receiver counts at most 6 s of that time. No frame can start a call 8 s after the heartbeat that it names, by the receiver's clock, and a tombstone is made after that heartbeat and kept for 15 s. A call on a connection without a heartbeat for more than 6 s has less time to arrive; connections are closed after 4.4 s of silence while idle.

The lifetime of a permission stood in four packages; it is defined in protocol, on which all of them depend.

Evidence: the row "a receiver whose clock doesn't count a suspension" fails without the limit. The other rows state the permissions as they were.

--- a/packages/daemon/src/call-router.ts
+++ b/packages/daemon/src/call-router.ts
@@ -1,7 +1,7 @@
 import type * as admission from '@camphorwharf/admission';
 import type * as coordination from '@camphorwharf/coordination';
 import type * as declaration from '@camphorwharf/declaration';
-import type * as protocol from '@camphorwharf/protocol';
+import * as protocol from '@camphorwharf/protocol';
 import type * as runtime from '@camphorwharf/runtime';
 import * as transport from '@camphorwharf/transport';
 import * as attemptResult from './attempt-result.js';
@@ -9,9 +9,6 @@
 import * as deadlineSignal from './deadline-signal.js';
 import type * as outgoing from './outgoing-request.js';
 
-/** Maximum time after sending during which a target may start a call. */
-export const PERMISSION_LIFETIME_MS = 2_000;
-
 /** Extra time after the deadline to receive the target's own result. */
 const RESULT_GRACE_MS = 100;
 
@@ -159,7 +156,7 @@
       },
       request.body ? request.body.stream() : null,
       {
-        permissionMs: Math.min(remainingMs, PERMISSION_LIFETIME_MS),
+        permissionMs: Math.min(remainingMs, protocol.PERMISSION_LIFETIME_MS),
         signal: timeout.signal,
       },
     );
--- a/packages/host-daemon/src/target-client.ts
+++ b/packages/host-daemon/src/target-client.ts
@@ -1,4 +1,4 @@
-import type * as protocol from '@camphorwharf/protocol';
+import * as protocol from '@camphorwharf/protocol';
 import type * as routing from '@camphorwharf/routing';
 import * as runtime from '@camphorwharf/runtime';
 import * as transport from '@camphorwharf/transport';
@@ -8,9 +8,6 @@
 import * as timerResolution from './timer-resolution.js';
 import type * as targetCall from './target-call.js';
 
-/** Maximum time after sending for which a target may still start a call. */
-const PERMISSION_LIFETIME_MS = 2_000;
-
 /** Time for the target's own response at the deadline to arrive. */
 const DEADLINE_MARGIN_MS = 100;
 
@@ -110,7 +107,7 @@
       this.outgoingCall(request, server, attemptNumber, remainingMs),
       streamingBody(request.body),
       {
-        permissionMs: Math.min(remainingMs, PERMISSION_LIFETIME_MS),
+        permissionMs: Math.min(remainingMs, protocol.PERMISSION_LIFETIME_MS),
         signal: cancelSource,
       },
     );
--- a/packages/model-check/src/daemon.ts
+++ b/packages/model-check/src/daemon.ts
@@ -1,5 +1,5 @@
 import * as ownership from '@camphorwharf/ownership';
-import type * as protocol from '@camphorwharf/protocol';
+import * as protocol from '@camphorwharf/protocol';
 import * as callClient from './call-client.js';
 import * as grantClient from './grant-client.js';
 import type * as messages from './messages.js';
@@ -209,7 +209,7 @@
     environment: DaemonEnvironment,
   ): void {
     const localMs = this.localMs(nowMs);
-    const keepUntilMs = localMs + 2 * ownership.PERMISSION_LIFETIME_MS;
+    const keepUntilMs = localMs + 2 * protocol.PERMISSION_LIFETIME_MS;
     if (body.kind === 'call') {
       if (!environment.factory.acceptsCall(sentMs, nowMs)) return;
       const {requestId, attempt} = body;
@@ -293,7 +293,7 @@
     nowMs: number,
   ): void {
     // Stands for the transport, which refuses frames delayed by a pause.
-    if (nowMs - message.sentMs >= ownership.PERMISSION_LIFETIME_MS) return;
+    if (nowMs - message.sentMs >= protocol.PERMISSION_LIFETIME_MS) return;
     const localMs = this.localMs(nowMs);
     for (const level of body.buckets) {
       this.buckets.receiveHandOver(level.organisation, level.tokens, localMs);
--- a/packages/model-check/src/settings.ts
+++ b/packages/model-check/src/settings.ts
@@ -1,5 +1,5 @@
 import * as ownership from '@camphorwharf/ownership';
-import type * as protocol from '@camphorwharf/protocol';
+import * as protocol from '@camphorwharf/protocol';
 
 /** Model time that passes in one step. */
 export const STEP_MS = 500;
@@ -50,5 +50,5 @@
   calls: () => new ownership.CallRegister(),
   adoptsRevision: (current, offered) => offered > current,
   acceptsCall: (sentMs, nowMs) =>
-    nowMs - sentMs < ownership.PERMISSION_LIFETIME_MS,
+    nowMs - sentMs < protocol.PERMISSION_LIFETIME_MS,
 };
--- a/packages/ownership/src/call-register.ts
+++ b/packages/ownership/src/call-register.ts
@@ -63,7 +63,10 @@
   }
 }
 
-/** A call frame in flight may still be accepted within its permission. */
+/**
+ * Longer than a call frame can be accepted (see `PERMISSION_HEARTBEAT_AGE_MS`),
+ * so that no frame of the call outlives its tombstone.
+ */
 function retentionEndMs(keepUntilMs: number, nowMs: number): number {
   return Math.max(keepUntilMs, nowMs + constants.CALL_RETENTION_MS);
 }
--- a/packages/ownership/src/constants.ts
+++ b/packages/ownership/src/constants.ts
@@ -17,9 +17,6 @@
 /** Time for which a holder may spend a grant, from when it was requested. */
 export const GRANT_LIFETIME_MS = 2_000;
 
-/** Time within which a target may start a call that was sent to it. */
-export const PERMISSION_LIFETIME_MS = 2_000;
-
 /** A clock drift of 1% over the grant lifetime plus 100 ms. */
 export const GRANT_EXPIRY_MARGIN_MS = 120;
 
@@ -61,9 +58,9 @@
 export const STARTED_CALL_LIMIT = 50_000;
 
 /**
- * Minimum time for which a started call or a tombstone is recorded. Queries
- * within 15 s of the reading of the target's clock that the call was sent after
- * can be answered.
+ * Minimum time for which a started call or a tombstone is recorded. A call can
+ * start for 8 s after the reading of the target's clock that it was sent after,
+ * and queries within 15 s of that reading can be answered.
  */
 export const CALL_RETENTION_MS = 15_000;
 
--- a/packages/ownership/src/test/call-register_test.ts
+++ b/packages/ownership/src/test/call-register_test.ts
@@ -54,6 +54,13 @@
       ['start', 'r', 0, 9_000, 3_900, 'tombstoned'],
     ],
   ],
+  [
+    'a tombstone outlives each frame that can be accepted',
+    [
+      ['cancel', 'r', 0, 0, 0, 'neverStarts'],
+      ['start', 'r', 0, 90_000, 8_000, 'tombstoned'],
+    ],
+  ],
   [
     'a full table rejects starts and records no tombstones',
     [
--- a/packages/ownership/src/test/cancel-answer_test.ts
+++ b/packages/ownership/src/test/cancel-answer_test.ts
@@ -1,7 +1,8 @@
-import type * as protocol from '@camphorwharf/protocol';
+import * as protocol from '@camphorwharf/protocol';
 import test from 'ava';
 import * as callRegister from '../call-register.js';
 import * as cancelAnswer from '../cancel-answer.js';
+import * as constants from '../constants.js';
 
 interface Case {
   readonly incarnation?: string;
@@ -52,3 +53,11 @@
     t.deepEqual(answer, {kind: 'cancelAnswer', verdict: row.verdict});
   });
 }
+
+test('entries outlive the frames of their calls', t => {
+  // Guards against a call frame that is accepted after its tombstone expired.
+  t.true(
+    constants.CALL_RETENTION_MS >
+      protocol.PERMISSION_HEARTBEAT_AGE_MS + protocol.PERMISSION_LIFETIME_MS,
+  );
+});
--- a/packages/protocol/src/index.ts
+++ b/packages/protocol/src/index.ts
@@ -16,5 +16,9 @@
   RefusalReasonName,
   UnknownReasonName,
 } from './outcomes.js';
+export {
+  PERMISSION_HEARTBEAT_AGE_MS,
+  PERMISSION_LIFETIME_MS,
+} from './permission.js';
 export {negotiateVersion} from './version.js';
 export type {VersionRange} from './version.js';
--- a/packages/transport/src/heartbeat-state.ts
+++ b/packages/transport/src/heartbeat-state.ts
@@ -1,16 +1,10 @@
-import type * as protocol from '@camphorwharf/protocol';
+import * as protocol from '@camphorwharf/protocol';
 
 /**
  * 16 s of heartbeats at the default interval; permissions expire much sooner.
  */
 const TRACKED_HEARTBEATS = 64;
 
-/**
- * Longest permission that a receiver accepts. A takeover waits for longer than
- * this, so a sender must not be able to extend a permission.
- */
-const MAXIMUM_PERMISSION_MS = 2_000;
-
 /**
  * Minimum time between two readings of the clock in heartbeats. Each takes 13
  * bytes, and a daemon with 32 peers spends 27 KB/s on control at most.
@@ -139,7 +133,9 @@
    * Whether the permission of a call from the remote end has not expired. The
    * expiry time is computed from the time at which this end sent the heartbeat.
    * The remote end received it later, so the receiver's expiry is not after the
-   * sender's.
+   * sender's. A sender can't extend it: `elapsedMs` also counts the time for
+   * which only the clock of this end stood still, and takeovers and tombstones
+   * wait for no longer than these limits.
    */
   isValid(permission: protocol.SendPermission, nowMs: number): boolean {
     const {heartbeatNumber, elapsedMs, remainingMs} = permission;
@@ -151,8 +147,9 @@
       return false;
     }
     const sentAtMs = this.sentAtMs[heartbeatNumber % TRACKED_HEARTBEATS];
-    const validForMs = Math.min(remainingMs, MAXIMUM_PERMISSION_MS);
-    return nowMs <= sentAtMs + elapsedMs + validForMs;
+    const ageMs = Math.min(elapsedMs, protocol.PERMISSION_HEARTBEAT_AGE_MS);
+    const validForMs = Math.min(remainingMs, protocol.PERMISSION_LIFETIME_MS);
+    return nowMs <= sentAtMs + ageMs + validForMs;
   }
 
   /**
--- a/packages/transport/src/test/heartbeat-state_test.ts
+++ b/packages/transport/src/test/heartbeat-state_test.ts
@@ -90,6 +90,66 @@
   });
 }
 
+interface PermissionCase {
+  /** Heartbeats of the receiver that reach the sender before the call. */
+  readonly heartbeatsMs: readonly number[];
+  /** The sender's time between the last heartbeat and the call. */
+  readonly elapsedMs: number;
+  readonly permissionMs?: number;
+  /** The last time, by the receiver's clock, at which the call may start. */
+  readonly lastMs: number;
+}
+
+/**
+ * Guards against a call that starts after its tombstone has expired: a sender
+ * whose clock goes on while that of the receiver stands still, or that states
+ * too long a permission, may not extend it.
+ */
+const PERMISSIONS: Readonly<Record<string, PermissionCase>> = {
+  'a call at once': {heartbeatsMs: [100], elapsedMs: 0, lastMs: 2_100},
+  'a short permission': {
+    heartbeatsMs: [100],
+    elapsedMs: 0,
+    permissionMs: 300,
+    lastMs: 400,
+  },
+  'a permission of more than 2 s': {
+    heartbeatsMs: [100],
+    elapsedMs: 0,
+    permissionMs: 60_000,
+    lastMs: 2_100,
+  },
+  'a call on an idle connection': {
+    heartbeatsMs: [100, 2_100],
+    elapsedMs: 4_400,
+    lastMs: 8_500,
+  },
+  "a receiver whose clock doesn't count a suspension": {
+    heartbeatsMs: [100],
+    elapsedMs: 60_000,
+    lastMs: 8_100,
+  },
+};
+for (const [name, row] of Object.entries(PERMISSIONS)) {
+  test(`permission: ${name}`, t => {
+    const receiver = new heartbeatState.HeartbeatState(0);
+    const sender = new heartbeatState.HeartbeatState(50_000);
+    receiver.recordHello({}, 0);
+    sender.recordHello({clockMs: 0}, 50_000);
+    for (const atMs of row.heartbeatsMs) {
+      const heartbeat = receiver.nextHeartbeat(atMs);
+      t.true(sender.receive(heartbeat, 50_000 + atMs));
+    }
+    const lastHeartbeatMs = Math.max(...row.heartbeatsMs);
+    const permission = sender.createPermission(
+      50_000 + lastHeartbeatMs + row.elapsedMs,
+      row.permissionMs ?? 2_000,
+    );
+    t.true(receiver.isValid(permission, row.lastMs));
+    t.false(receiver.isValid(permission, row.lastMs + 1));
+  });
+}
+
 /**
  * Guards against a reading that is after the call, after which the target takes
  * an entry that has expired for one that never was, against readings so old
