Interpret each response of the backend server once

A response was validated twice, for its connection and for its call, with one pass over its headers for each sign.

--- a/packages/host-daemon/src/local-backend-client.ts
+++ b/packages/host-daemon/src/local-backend-client.ts
@@ -61,6 +61,7 @@
     const remainingMs = deadlineMs - this.options.clock.monotonicMs();
     if (remainingMs <= 1) return targetCall.refusedResult('deadlineExpired', 0);
     this.attempts.noteStart(call);
+    const interpreted: {result?: targetCall.CallResult} = {};
     const exchange = this.options.client.send({
       method: call.method,
       path: call.path,
@@ -70,8 +71,10 @@
       maximumIdleMs: call.idempotent
         ? IDLE_LIMIT_MS
         : NON_IDEMPOTENT_IDLE_LIMIT_MS,
-      isExpected: response =>
-        this.validator.validate(call, response).kind !== 'rejected',
+      isExpected: response => {
+        interpreted.result = this.interpretResponse(call, response);
+        return interpreted.result.kind !== 'unknown';
+      },
     });
     const cancel = () => exchange.cancel();
     const timer = setTimeout(
@@ -82,7 +85,8 @@
     const exchangeResult = await exchange.result;
     clearTimeout(timer);
     signal.removeEventListener('abort', cancel);
-    const result = this.interpretResult(call, exchangeResult);
+    const result =
+      interpreted.result ?? this.interpretResult(call, exchangeResult);
     this.attempts.noteEnd(call, exchangeResult, result);
     return result;
   }
--- a/packages/host-daemon/src/response-validator.ts
+++ b/packages/host-daemon/src/response-validator.ts
@@ -1,4 +1,5 @@
 import type * as protocol from '@camphorwharf/protocol';
+import * as transport from '@camphorwharf/transport';
 import type * as httpBinding from './http-binding.js';
 import type * as targetCall from './target-call.js';
 
@@ -103,17 +104,32 @@
     const isSuccess = status < 400;
     const isProven =
       signs.proofs.length > 0 &&
-      valuesOf(headers, 'content-encoding').length === 0;
+      transport.headerValue(headers, 'content-encoding') === null;
     return isSuccess && !isProven ? reject('unproven') : {kind: 'complete'};
   }
 
   private readSigns(headers: protocol.HeaderList): Signs {
-    return {
-      requestIds: valuesOf(headers, this.requestIdHeader),
-      notExecuted: valuesOf(headers, this.notExecutedHeader),
-      proofs: valuesOf(headers, this.proofHeader),
-      instances: valuesOf(headers, this.instanceIdHeader),
-    };
+    const requestIds: string[] = [];
+    const notExecuted: string[] = [];
+    const proofs: string[] = [];
+    const instances: string[] = [];
+    for (const [name, value] of headers) {
+      switch (name.toLowerCase()) {
+        case this.requestIdHeader:
+          requestIds.push(value);
+          break;
+        case this.notExecutedHeader:
+          notExecuted.push(value);
+          break;
+        case this.proofHeader:
+          proofs.push(value);
+          break;
+        case this.instanceIdHeader:
+          instances.push(value);
+          break;
+      }
+    }
+    return {requestIds, notExecuted, proofs, instances};
   }
 
   private isContradictory(
@@ -166,12 +182,6 @@
   return requestIds.every(id => id === requestId);
 }
 
-function valuesOf(headers: protocol.HeaderList, lowerName: string): string[] {
-  return headers
-    .filter(([name]) => name.toLowerCase() === lowerName)
-    .map(([, value]) => value);
-}
-
 function holdsHead(text: string): boolean {
   return STATUS_LINE_PATTERN.test(text);
 }
