Fail exchanges whose response head holds parts of two responses

Callers saw: a request that may run once ran twice. A faulty server had broken off an earlier refusal within its head, and the response of the next request on that connection followed. The answer then had the status and the not-executed header of the refusal and the id of the response, so it counted as a refusal.

Cause: the parser takes the first line of the second response for the rest of a header value, of the reason phrase or of a trailer, and reports one head.

Change: response-head.ts finds heads and trailers that hold a status line, and framing that says two things: content-length beside transfer-encoding, two lengths, connection options that are no tokens, a transfer-encoding that does not end with chunked. Both HTTP clients fail such an exchange as lost (it may have run) and close the connection. A trailer fault of the streaming client fails the body; its connection remains in the pool, because undici lets nothing abort a request that has ended. `Via: HTTP/1.1 proxy`, repeated equal lengths and empty list elements stay allowed.

--- a/packages/transport/src/backend-exchange.ts
+++ b/packages/transport/src/backend-exchange.ts
@@ -4,6 +4,7 @@
 import type * as backendClient from './backend-client.js';
 import * as bodyQueue from './body-queue.js';
 import * as httpHeaders from './http-headers.js';
+import * as responseHead from './response-head.js';
 
 /** Reading from the backend server pauses while more bytes are unread. */
 const HIGH_WATER_MARK_BYTES = 64 * 1024;
@@ -120,11 +121,19 @@
   onResponseStart(
     controller: undici.Dispatcher.DispatchController,
     status: number,
+    _parsedHeaders: unknown,
+    statusMessage = '',
   ): void {
-    if (status < 200 || this.ended.signal.aborted) return;
+    if (this.ended.signal.aborted) return;
     const headers = httpHeaders.pairRawHeaders(
       controller.rawHeaders as Array<string | Uint8Array>,
     );
+    const error = responseHead.findHeadError({statusMessage, headers});
+    if (error) {
+      this.fail(error);
+      return;
+    }
+    if (status < 200) return;
     const bodyForbidden =
       this.request.method === 'HEAD' || status === 204 || status === 304;
     const contentLength = bodyForbidden
@@ -165,9 +174,15 @@
     else if (this.unreadBytes > HIGH_WATER_MARK_BYTES) controller.pause();
   }
 
-  onResponseEnd(): void {
+  onResponseEnd(controller: undici.Dispatcher.DispatchController): void {
     this.finish();
-    if (this.lengthDelimited) this.responseBody?.end(this.receivedBytes);
+    const error = responseHead.findTrailerError(
+      httpHeaders.pairRawHeaders(
+        (controller.rawTrailers ?? []) as Array<string | Uint8Array>,
+      ),
+    );
+    if (error) this.responseBody?.fail(error);
+    else if (this.lengthDelimited) this.responseBody?.end(this.receivedBytes);
     else {
       this.responseBody?.fail(
         new runtime.ProtocolError(
--- a/packages/transport/src/buffered-exchange-handler.ts
+++ b/packages/transport/src/buffered-exchange-handler.ts
@@ -5,6 +5,7 @@
 import * as bodyMemory from './body-memory.js';
 import * as framingLimit from './framing-limit.js';
 import * as httpHeaders from './http-headers.js';
+import * as responseHead from './response-head.js';
 import type * as serverConnection from './server-connection.js';
 
 /** Larger responses fail the exchange, which bounds memory use. */
@@ -129,15 +130,23 @@
   onResponseStart(
     controller: undici.Dispatcher.DispatchController,
     status: number,
+    _parsedHeaders: unknown,
+    statusMessage = '',
   ): void {
+    if (this.settled) return;
+    const headers = httpHeaders.pairRawHeaders(
+      controller.rawHeaders as Array<string | Uint8Array>,
+    );
+    const error = responseHead.findHeadError({statusMessage, headers});
+    if (error) {
+      this.fail(error);
+      return;
+    }
     if (status < 200) {
       this.countInterimResponse();
       return;
     }
     this.status = status;
-    const headers = httpHeaders.pairRawHeaders(
-      controller.rawHeaders as Array<string | Uint8Array>,
-    );
     const declaredBytes = httpHeaders.declaredLength(headers);
     this.body = new bodyBuffer.BodyBuffer(
       this.memory.open(error => this.fail(error)),
@@ -187,8 +196,17 @@
     }
   }
 
-  onResponseEnd(): void {
+  onResponseEnd(controller: undici.Dispatcher.DispatchController): void {
     if (this.settled || !this.body) return;
+    const error = responseHead.findTrailerError(
+      httpHeaders.pairRawHeaders(
+        (controller.rawTrailers ?? []) as Array<string | Uint8Array>,
+      ),
+    );
+    if (error) {
+      this.fail(error);
+      return;
+    }
     // For a response with `connection: close`, undici treats a connection reset
     // as the end of the body, even when the response is incomplete.
     if (this.connection.socket?.errored != null) {
--- /dev/null
+++ b/packages/transport/src/response-head.ts
@@ -0,0 +1,83 @@
+import type * as protocol from '@camphorwharf/protocol';
+import * as runtime from '@camphorwharf/runtime';
+
+/**
+ * Start of a response. A product name alone, as in `Via: HTTP/1.1 proxy`, does
+ * not match.
+ */
+const STATUS_LINE = /HTTP\/\d\.\d \d{3}/;
+
+const TOKEN = /^[\w!#$%&'*+.^`|~-]+$/;
+
+/** The first line and the headers of a response. */
+export interface ResponseHead {
+  readonly statusMessage: string;
+  readonly headers: protocol.HeaderList;
+}
+
+/**
+ * Returns the error for a head that cannot be that of a single response, or
+ * null. A parser takes a response that follows a truncated head for the rest of
+ * that head; it then combines the status of one response with the request id of
+ * the other, and proves nothing about either request.
+ */
+export function findHeadError(head: ResponseHead): Error | null {
+  const description = describeHeadFault(head);
+  if (description === null) return null;
+  return new runtime.ProtocolError(
+    `The response head is not that of one response: ${description}. Check ` +
+      'whether the backend server truncates responses or sends bytes that ' +
+      'belong to no request.',
+  );
+}
+
+/** Returns the error for trailers that contain another response, or null. */
+export function findTrailerError(trailers: protocol.HeaderList): Error | null {
+  return findHeadError({statusMessage: '', headers: trailers});
+}
+
+function describeHeadFault(head: ResponseHead): string | null {
+  if (STATUS_LINE.test(head.statusMessage)) {
+    return 'its reason phrase contains a status line';
+  }
+  let contentLength: string | null = null;
+  let codings: string[] | null = null;
+  for (const [name, value] of head.headers) {
+    if (STATUS_LINE.test(value)) {
+      return `header ${name.toLowerCase()} contains a status line`;
+    }
+    switch (name.toLowerCase()) {
+      case 'content-length':
+        if (!/^\d+$/.test(value)) return 'content-length is not a number';
+        if (contentLength !== null && contentLength !== value) {
+          return 'it has two content lengths';
+        }
+        contentLength = value;
+        break;
+      case 'transfer-encoding':
+        codings = [...(codings ?? []), ...splitList(value)];
+        break;
+      case 'connection':
+        if (!splitList(value).every(option => TOKEN.test(option))) {
+          return 'connection is not a list of options';
+        }
+        break;
+    }
+  }
+  if (codings === null) return null;
+  if (contentLength !== null) {
+    return 'it has content-length and transfer-encoding';
+  }
+  return codings.length > 0 && codings.indexOf('chunked') === codings.length - 1
+    ? null
+    : 'transfer-encoding does not end with a single chunked';
+}
+
+/** Splits a list in lower case; empty elements are allowed (RFC 9110, 5.6.1). */
+function splitList(value: string): string[] {
+  return value
+    .toLowerCase()
+    .split(',')
+    .map(element => element.trim())
+    .filter(element => element !== '');
+}
--- a/packages/transport/src/test/buffered-exchange-fixture.ts
+++ b/packages/transport/src/test/buffered-exchange-fixture.ts
@@ -25,16 +25,28 @@
   limits: ClientLimits,
 ): Promise<bufferedExchangeClient.BufferedExchangeClient> {
   await new Promise<void>(resolve => server.listen(0, '127.0.0.1', resolve));
+  const client = createClient(
+    t,
+    (server.address() as net.AddressInfo).port,
+    limits,
+  );
+  t.teardown(() => server.close());
+  return client;
+}
+
+/** Creates a client that closes at the end of the test. */
+export function createClient(
+  t: ava.ExecutionContext,
+  port: number,
+  limits: ClientLimits,
+): bufferedExchangeClient.BufferedExchangeClient {
   const client = new bufferedExchangeClient.BufferedExchangeClient({
     address: '127.0.0.1',
-    port: (server.address() as net.AddressInfo).port,
+    port,
     nowMs: limits.nowMs ?? (() => 0),
     maximumConnections: () => limits.maximumConnections,
     bodyMemory: limits.bodyMemory,
   });
-  t.teardown(() => {
-    client.destroy();
-    server.close();
-  });
+  t.teardown(() => client.destroy());
   return client;
 }
