Start no call whose tombstone may have expired since it was accepted

A call could start, and run twice, after its target had promised never to start it, when the target's process stood still between the check of the permission and the start: on resumption the tombstone had expired. In packages/daemon no stop is needed: a call waits there for admission between the two, for as long as its deadline allows (up to 10 min), and tombstones end after 60 s.

Change: a call states when its permission was checked, and the register refuses it once a tombstone made meanwhile may have expired: 7 s later, or 52 s in packages/daemon. The register knows the lifetime of its tombstones and no longer takes it from the query's handler.

Weighed and not chosen: looking up the tombstone at the time of the check (right only while nothing else expires entries in between); checking the permission again at the start (a call that waits for admission would be refused after 2 s).

Evidence: two rows of peer-request-handler_test.ts and one of call-register_test.ts fail without the comparison. The handler's test uses the real register instead of a stand-in.

--- a/packages/coordination/src/control-request-handler.ts
+++ b/packages/coordination/src/control-request-handler.ts
@@ -6,13 +6,6 @@
 import type * as configurationTask from './configuration-task.js';
 import type * as hostDirectory from './host-directory.js';
 
-/**
- * Time for which the tombstone of a cancelled call is kept. It outlasts the time
- * for which a call frame can be accepted and for which an accepted call waits
- * for admission.
- */
-export const TOMBSTONE_TTL_MS = 60_000;
-
 export interface ControlRequestHandlerOptions {
   readonly incarnation: string;
   readonly cell: Pick<cellTask.CellTask, 'answerPing' | 'answerOwnerRequest'>;
@@ -75,13 +68,7 @@
     nowMs: number,
   ): protocol.CancelAnswer {
     const {incarnation, startedCalls} = this.options;
-    return ownership.answerCancelQuery(
-      body,
-      startedCalls,
-      incarnation,
-      nowMs + TOMBSTONE_TTL_MS,
-      nowMs,
-    );
+    return ownership.answerCancelQuery(body, startedCalls, incarnation, nowMs);
   }
 
   /** Accepts a departure notice only from the host that leaves. */
--- a/packages/daemon/src/daemon.ts
+++ b/packages/daemon/src/daemon.ts
@@ -1,6 +1,5 @@
 import * as coordination from '@camphorwharf/coordination';
 import type * as declaration from '@camphorwharf/declaration';
-import * as ownership from '@camphorwharf/ownership';
 import * as runtime from '@camphorwharf/runtime';
 import * as transport from '@camphorwharf/transport';
 import * as callHandlers from './call-handlers.js';
@@ -10,7 +9,7 @@
 import * as healthTask from './health-task.js';
 import type * as settingsFile from './settings.js';
 import * as targetAvailability from './target-availability.js';
-import type * as targetHandler from './target-handler.js';
+import * as targetHandler from './target-handler.js';
 
 /**
  * Time for which a stopping daemon keeps serving callers before it closes idle
@@ -29,7 +28,7 @@
   readonly stopped: Promise<boolean>;
   private readonly identity: daemonComponents.DaemonIdentity;
   private readonly metrics = new runtime.Metrics();
-  private readonly startedCalls = new ownership.CallRegister();
+  private readonly startedCalls = targetHandler.createCallRegister();
   private readonly taskAbort = new AbortController();
   private readonly peers: transport.PeerPool;
   private readonly listener: transport.PeerListener;
--- a/packages/daemon/src/target-handler.ts
+++ b/packages/daemon/src/target-handler.ts
@@ -1,12 +1,18 @@
 import type * as admission from '@camphorwharf/admission';
-import type * as ownership from '@camphorwharf/ownership';
+import * as ownership from '@camphorwharf/ownership';
 import type * as protocol from '@camphorwharf/protocol';
 import type * as runtime from '@camphorwharf/runtime';
 import type * as transport from '@camphorwharf/transport';
 import type * as admissionTask from './admission-task.js';
 import type * as backendServerForwarder from './backend-server-forwarder.js';
 
-/** Time after the deadline for which started calls and tombstones are kept. */
+/**
+ * Time for which tombstones are kept. A call that waits for admission for 8 s
+ * less than this does not start.
+ */
+const TOMBSTONE_MS = 60_000;
+
+/** Time after the deadline for which started calls are kept. */
 const STARTED_CALL_RETENTION_MS = 1_000;
 
 export interface TargetHandlerOptions {
@@ -76,6 +82,7 @@
     const verdict = startedCalls.start(
       requestId,
       call.head.attempt,
+      call.acceptedMs,
       deadlineMs + STARTED_CALL_RETENTION_MS,
       nowMs,
     );
@@ -112,3 +119,8 @@
     };
   }
 }
+
+/** Creates the register of the calls that `TargetHandler` starts. */
+export function createCallRegister(): ownership.StartedCalls {
+  return new ownership.CallRegister({tombstoneMs: TOMBSTONE_MS});
+}
--- a/packages/daemon/src/test/target-handler_test.ts
+++ b/packages/daemon/src/test/target-handler_test.ts
@@ -1,5 +1,4 @@
 import * as admission from '@camphorwharf/admission';
-import * as ownership from '@camphorwharf/ownership';
 import type * as protocol from '@camphorwharf/protocol';
 import * as runtime from '@camphorwharf/runtime';
 import type * as transport from '@camphorwharf/transport';
@@ -34,7 +33,7 @@
   const clock = new runtime.ManualClock();
   const controller = new admission.TargetAdmission();
   controller.setLimits({maximumConcurrency: 10, maximumQueue: 10});
-  const startedCalls = new ownership.CallRegister();
+  const startedCalls = targetHandler.createCallRegister();
   const runningCalls = new runningCallRegistry.RunningCallRegistry(
     new runtime.SeededRandom(1),
   );
@@ -103,6 +102,7 @@
       permission: {heartbeatNumber: 1, elapsedMs: 0, remainingMs: 1_000},
     },
     permissionValid: overrides.permissionValid ?? true,
+    acceptedMs: 0,
     body: null,
     signal: new AbortController().signal,
     cancelSignal: new AbortController().signal,
@@ -198,10 +198,7 @@
 test('target: refuses a cancelled attempt', async t => {
   // Guards against running an attempt after proof that it never starts.
   const {handler, requests, startedCalls, controller} = createHandler();
-  t.is(
-    startedCalls.cancelIfNotStarted(CANCELLED_CALL, 9_000, 0),
-    'neverStarts',
-  );
+  t.is(startedCalls.cancelIfNotStarted(CANCELLED_CALL, 0), 'neverStarts');
   const {call, ends} = incoming();
   await handler.handle(call);
   t.deepEqual(ends, ['refused cancelled finally']);
@@ -213,10 +210,7 @@
   // Guards against neverStarts for a started call, which would run twice.
   const {handler, startedCalls} = createHandler({
     send: request => {
-      t.is(
-        startedCalls.cancelIfNotStarted(CANCELLED_CALL, 9_000, 0),
-        'started',
-      );
+      t.is(startedCalls.cancelIfNotStarted(CANCELLED_CALL, 0), 'started');
       return answering(request);
     },
   });
--- a/packages/host-daemon/src/peer-request-handler.ts
+++ b/packages/host-daemon/src/peer-request-handler.ts
@@ -89,6 +89,7 @@
     const verdict = startedCalls.start(
       requestId,
       head.attempt,
+      call.acceptedMs,
       nowMs + remainingMs + CALL_RETENTION_MARGIN_MS,
       nowMs,
     );
@@ -134,13 +135,11 @@
     const {clock, incarnation, startedCalls} = this.options;
     switch (body.kind) {
       case 'cancelIfNotStarted': {
-        const nowMs = clock.monotonicMs();
         return ownership.answerCancelQuery(
           body,
           startedCalls,
           incarnation,
-          nowMs + CALL_RETENTION_MARGIN_MS,
-          nowMs,
+          clock.monotonicMs(),
         );
       }
       case 'configurationDigest':
--- a/packages/host-daemon/src/test/peer-request-handler_test.ts
+++ b/packages/host-daemon/src/test/peer-request-handler_test.ts
@@ -1,3 +1,4 @@
+import * as ownership from '@camphorwharf/ownership';
 import * as runtime from '@camphorwharf/runtime';
 import * as transport from '@camphorwharf/transport';
 import test from 'ava';
@@ -49,12 +50,32 @@
   });
 }
 
+/**
+ * Guards against a second run of a call whose tombstone expired while the
+ * process stood still between the check of the permission and the start.
+ */
+const STALLS: ReadonlyArray<readonly [number, string]> = [
+  [0, 'overloaded'],
+  [6_900, 'overloaded'],
+  [7_000, 'cancelled'],
+  [60_000, 'cancelled'],
+];
+for (const [stalledMs, refusal] of STALLS) {
+  test(`a call of a peer whose target stood still for ${stalledMs} ms`, async t => {
+    const outcome = await handleCall({stalledMs});
+    t.deepEqual(outcome.refusals, [refusal]);
+    t.is(outcome.ran, refusal === 'overloaded');
+  });
+}
+
 interface CallOptions {
   readonly nested?: boolean;
   /** Time since the start of a stop, in milliseconds; null without one. */
   readonly elapsedMs?: number | null;
   readonly bodyBytes?: number;
   readonly memory?: transport.BodyMemory;
+  /** Time between the check of the permission and the start. */
+  readonly stalledMs?: number;
 }
 
 /** Handles a call; its target refuses it as overloaded. */
@@ -63,6 +84,7 @@
   elapsedMs = null,
   bodyBytes = 0,
   memory = new transport.BodyMemory(),
+  stalledMs = 0,
 }: CallOptions): Promise<{ran: boolean; refusals: string[]}> {
   const clock = new runtime.ManualClock(10_000);
   const schedule = new stopSchedule.StopSchedule(LIMIT_MS);
@@ -74,10 +96,7 @@
     incarnation: 'incarnation-1',
     stopSchedule: schedule,
     bodyMemory: memory,
-    startedCalls: {
-      start: () => 'start',
-      cancelIfNotStarted: () => 'cancelled',
-    } as never,
+    startedCalls: new ownership.CallRegister(),
     reporter: () => {
       throw new Error('No report is expected.');
     },
@@ -91,6 +110,7 @@
   });
   await handler.onCall({
     permissionValid: true,
+    acceptedMs: clock.monotonicMs() - stalledMs,
     head: {
       service: 'parts',
       instance: 'instance-1',
--- a/packages/model-check/src/daemon.ts
+++ b/packages/model-check/src/daemon.ts
@@ -216,6 +216,7 @@
       const verdict = this.calls.start(
         requestId,
         attempt,
+        localMs,
         keepUntilMs,
         localMs,
       );
@@ -231,7 +232,6 @@
         {...body, kind: 'cancelIfNotStarted', sentAfterMs},
         this.calls,
         this.identity.incarnation,
-        keepUntilMs,
         localMs,
       );
       environment.send(from, {
--- a/packages/model-check/src/mutations.ts
+++ b/packages/model-check/src/mutations.ts
@@ -86,11 +86,10 @@
 class AgelessCancelRegister extends ownership.CallRegister {
   override cancelIfNotStarted(
     call: ownership.CancelledCall,
-    keepUntilMs: number,
     nowMs: number,
   ): 'neverStarts' | 'started' | 'unknown' {
     const current = {...call, sentAfterMs: nowMs};
-    return super.cancelIfNotStarted(current, keepUntilMs, nowMs);
+    return super.cancelIfNotStarted(current, nowMs);
   }
 }
 
--- a/packages/model-check/src/state-hash.ts
+++ b/packages/model-check/src/state-hash.ts
@@ -20,6 +20,8 @@
   'handOverTtlMs',
   'averagingMs',
   'wallOffsetMs',
+  'tombstoneMs',
+  'maximumWaitMs',
 ]);
 
 /**
--- a/packages/ownership/src/call-register.ts
+++ b/packages/ownership/src/call-register.ts
@@ -1,3 +1,4 @@
+import * as protocol from '@camphorwharf/protocol';
 import * as constants from './constants.js';
 import * as expiringMap from './expiring-map.js';
 import type * as interfaces from './interfaces.js';
@@ -5,6 +6,11 @@
 export interface CallRegisterOptions {
   /** Maximum number of calls and tombstones. */
   readonly limit?: number;
+  /**
+   * Time for which tombstones are kept; `CALL_RETENTION_MS` if absent. An
+   * accepted call may wait for 8 s less before it starts.
+   */
+  readonly tombstoneMs?: number;
 }
 
 /**
@@ -13,12 +19,20 @@
  * longer be started.
  */
 export class CallRegister implements interfaces.StartedCalls {
+  private readonly tombstoneMs: number;
+  /** Within it, a tombstone of an accepted call has not expired. */
+  private readonly maximumWaitMs: number;
   private readonly entries: expiringMap.ExpiringMap<'started' | 'tombstone'>;
 
   constructor(options: CallRegisterOptions = {}) {
     this.entries = new expiringMap.ExpiringMap(
       options.limit ?? constants.STARTED_CALL_LIMIT,
     );
+    this.tombstoneMs = options.tombstoneMs ?? constants.CALL_RETENTION_MS;
+    this.maximumWaitMs =
+      this.tombstoneMs -
+      protocol.PERMISSION_HEARTBEAT_AGE_MS -
+      protocol.PERMISSION_LIFETIME_MS;
   }
 
   get size(): number {
@@ -28,15 +42,20 @@
   start(
     requestId: string,
     attempt: number,
+    acceptedMs: number,
     keepUntilMs: number,
     nowMs: number,
   ): 'start' | 'duplicate' | 'tombstoned' | 'tableFull' {
     const key = callKey(requestId, attempt);
     const existing = this.entries.get(key, nowMs);
     if (existing) return existing === 'started' ? 'duplicate' : 'tombstoned';
-    // A call past its deadline may have had a tombstone that has expired.
-    if (nowMs >= keepUntilMs) return 'tombstoned';
-    const retainUntilMs = retentionEndMs(keepUntilMs, nowMs);
+    // The call may have had a tombstone that has expired.
+    const hasWaited = nowMs - acceptedMs >= this.maximumWaitMs;
+    if (hasWaited || nowMs >= keepUntilMs) return 'tombstoned';
+    const retainUntilMs = Math.max(
+      keepUntilMs,
+      nowMs + constants.CALL_RETENTION_MS,
+    );
     return this.entries.set(key, 'started', retainUntilMs, nowMs)
       ? 'start'
       : 'tableFull';
@@ -45,7 +64,6 @@
   /** Returns `unknown` when the table is too full to record a tombstone. */
   cancelIfNotStarted(
     call: interfaces.CancelledCall,
-    keepUntilMs: number,
     nowMs: number,
   ): 'neverStarts' | 'started' | 'unknown' {
     const key = callKey(call.requestId, call.attempt);
@@ -57,20 +75,16 @@
       sentAfterMs > nowMs ||
       nowMs >= sentAfterMs + constants.CALL_RETENTION_MS;
     if (mayHaveExpired) return 'unknown';
-    const retainUntilMs = retentionEndMs(keepUntilMs, nowMs);
-    const isRecorded = this.entries.set(key, 'tombstone', retainUntilMs, nowMs);
+    const isRecorded = this.entries.set(
+      key,
+      'tombstone',
+      nowMs + this.tombstoneMs,
+      nowMs,
+    );
     return isRecorded ? 'neverStarts' : 'unknown';
   }
 }
 
-/**
- * Longer than a call frame can be accepted (see `PERMISSION_HEARTBEAT_AGE_MS`),
- * so that no frame of the call outlives its tombstone.
- */
-function retentionEndMs(keepUntilMs: number, nowMs: number): number {
-  return Math.max(keepUntilMs, nowMs + constants.CALL_RETENTION_MS);
-}
-
 function callKey(requestId: string, attempt: number): string {
   return `${attempt}/${requestId}`;
 }
--- a/packages/ownership/src/cancel-answer.ts
+++ b/packages/ownership/src/cancel-answer.ts
@@ -10,13 +10,12 @@
   query: protocol.CancelIfNotStarted,
   calls: interfaces.StartedCalls,
   incarnation: string,
-  keepUntilMs: number,
   nowMs: number,
 ): protocol.CancelAnswer {
   if (query.incarnation !== incarnation) {
     return {kind: 'cancelAnswer', verdict: 'otherIncarnation'};
   }
-  const verdict = calls.cancelIfNotStarted(query, keepUntilMs, nowMs);
+  const verdict = calls.cancelIfNotStarted(query, nowMs);
   const isOlderPeer = query.sentAfterMs === undefined;
   return {
     kind: 'cancelAnswer',
--- a/packages/ownership/src/interfaces.ts
+++ b/packages/ownership/src/interfaces.ts
@@ -110,10 +110,14 @@
 
 /** Calls that a target's daemon has started or promised never to start. */
 export interface StartedCalls {
-  /** Must be called immediately before a call is sent to the backend server. */
+  /**
+   * Must be called immediately before a call is sent to the backend server.
+   * `acceptedMs`: when its permission was checked.
+   */
   start(
     requestId: string,
     attempt: number,
+    acceptedMs: number,
     keepUntilMs: number,
     nowMs: number,
   ): 'start' | 'duplicate' | 'tombstoned' | 'tableFull';
@@ -124,7 +128,6 @@
    */
   cancelIfNotStarted(
     call: CancelledCall,
-    keepUntilMs: number,
     nowMs: number,
   ): 'neverStarts' | 'started' | 'unknown';
   readonly size: number;
--- a/packages/ownership/src/test/call-register_test.ts
+++ b/packages/ownership/src/test/call-register_test.ts
@@ -9,6 +9,8 @@
       keepUntilMs: number,
       nowMs: number,
       expected: ReturnType<callRegister.CallRegister['start']>,
+      /** The present time if absent. */
+      acceptedMs?: number,
     ]
   | readonly [
       operation: 'cancel',
@@ -61,6 +63,18 @@
       ['start', 'r', 0, 90_000, 8_000, 'tombstoned'],
     ],
   ],
+  [
+    'a call does not start once its tombstone may have expired',
+    [
+      ['cancel', 'r', 0, 0, 0, 'neverStarts'],
+      ['start', 'r', 0, 90_000, 14_900, 'tombstoned', 8_000],
+      ['start', 'r', 0, 90_000, 17_000, 'tombstoned', 8_000],
+    ],
+  ],
+  [
+    'a call starts that was stopped for a short time',
+    [['start', 'r', 0, 90_000, 14_900, 'start', 8_000]],
+  ],
   [
     'a full table rejects starts and records no tombstones',
     [
@@ -129,8 +143,18 @@
     for (const step of steps) {
       switch (step[0]) {
         case 'start': {
-          const [, requestId, attempt, keepMs, nowMs, expected] = step;
-          t.is(register.start(requestId, attempt, keepMs, nowMs), expected);
+          const [, requestId, attempt, keepMs, nowMs, expected, accepted] =
+            step;
+          t.is(
+            register.start(
+              requestId,
+              attempt,
+              accepted ?? nowMs,
+              keepMs,
+              nowMs,
+            ),
+            expected,
+          );
           break;
         }
         case 'cancel': {
@@ -140,7 +164,7 @@
             attempt,
             ...(sentAfterMs === null ? {} : {sentAfterMs}),
           };
-          t.is(register.cancelIfNotStarted(call, nowMs, nowMs), expected);
+          t.is(register.cancelIfNotStarted(call, nowMs), expected);
           break;
         }
       }
--- a/packages/ownership/src/test/cancel-answer_test.ts
+++ b/packages/ownership/src/test/cancel-answer_test.ts
@@ -48,7 +48,6 @@
       new callRegister.CallRegister(),
       'a',
       nowMs,
-      nowMs,
     );
     t.deepEqual(answer, {kind: 'cancelAnswer', verdict: row.verdict});
   });
--- a/packages/transport/src/call-table.ts
+++ b/packages/transport/src/call-table.ts
@@ -115,7 +115,7 @@
   }
 
   /** Accepts a call from the remote end. */
-  accept(frame: protocol.Call, permissionValid: boolean): void {
+  accept(frame: protocol.Call, permissionValid: boolean, nowMs: number): void {
     if (frame.call % 2 !== Math.abs(this.lastIncomingId % 2)) {
       this.options.onDropped('unknownCall');
       return;
@@ -129,6 +129,7 @@
       this.incomingContext,
       frame,
       permissionValid,
+      nowMs,
     );
     this.incoming.set(frame.call, exchange);
     if (this.runningHandlers >= options.MAXIMUM_CONCURRENT_CALLS) {
--- a/packages/transport/src/incoming-exchange.ts
+++ b/packages/transport/src/incoming-exchange.ts
@@ -20,6 +20,7 @@
     private readonly context: exchangeContext.ExchangeContext,
     readonly head: protocol.Call,
     readonly permissionValid: boolean,
+    readonly acceptedMs: number,
   ) {
     this.body = head.hasBody
       ? new bodyQueue.BodyQueue({
--- a/packages/transport/src/peer-connection.ts
+++ b/packages/transport/src/peer-connection.ts
@@ -213,7 +213,11 @@
         }
         return;
       case 'call':
-        calls.accept(frame, this.heartbeats.isValid(frame.permission, nowMs));
+        calls.accept(
+          frame,
+          this.heartbeats.isValid(frame.permission, nowMs),
+          nowMs,
+        );
         return;
       case 'request':
         requests.accept(frame);
--- a/packages/transport/src/peer-interfaces.ts
+++ b/packages/transport/src/peer-interfaces.ts
@@ -92,6 +92,8 @@
   readonly head: protocol.Call;
   /** False when the permission had expired before the frame arrived. */
   readonly permissionValid: boolean;
+  /** Monotonic time at which the permission was checked, in milliseconds. */
+  readonly acceptedMs: number;
   /** Throws when the body is truncated, too long or lost. */
   readonly body: AsyncIterable<Uint8Array> | null;
   /** Aborted by a `cancel` frame or the end of the connection. */
