Test pipelined requests behind one that closes its connection

A request that was read behind one with "Connection: close", or behind one of HTTP/1.0, must not begin: the connection closes after the response before it, and the client repeats it. Both rows pass on the present code; they were added while looking for places at which one request leaves twice.

--- a/packages/host-daemon/src/test/pipelining_test.ts
+++ b/packages/host-daemon/src/test/pipelining_test.ts
@@ -158,6 +158,29 @@
     answered: '/1 /2',
     closes: true,
   },
+  ...(
+    [
+      ['a request that closes the connection', '1.1', 'Connection: close\r\n'],
+      ['a request of HTTP/1.0', '1.0', ''],
+    ] as const
+  ).map(([name, version, header]): Case => ({
+    name: `${name} before another`,
+    guards: 'a request that runs although the client repeats it',
+    run: async fixture => {
+      fixture.client.write(
+        `GET /1 HTTP/${version}\r\nHost: a.example\r\n${header}\r\n` +
+          'GET /2 HTTP/1.1\r\nHost: a.example\r\n\r\n',
+      );
+      await fixture.untilStarted(1);
+      // Gives the server time to read the second request.
+      await new Promise(resolve => setTimeout(resolve, 50));
+      fixture.answer('/1');
+      await helpers.waitUntil(() => fixture.closed);
+    },
+    started: '/1',
+    answered: '/1',
+    closes: true,
+  })),
   {
     name: 'a connection reset by the client',
     guards: 'work for a client that has disconnected',
