End a call at once whose own frame ends the connection

A call whose frame took a connection beyond its output limit waited until its deadline: writing the frame ended the connection and all calls in flight, and only then was the call recorded. Its sender learned that it was lost when no time was left to ask the target or to try another.

Change: the frame is encoded first (too large a frame throws, as before), then the call is recorded, then the frame is written.

Evidence: the first row of call-table_test.ts failed before; the second, a frame that is too large, passed before and after.

--- a/packages/transport/src/call-table.ts
+++ b/packages/transport/src/call-table.ts
@@ -1,4 +1,4 @@
-import type * as protocol from '@camphorwharf/protocol';
+import * as protocol from '@camphorwharf/protocol';
 import * as runtime from '@camphorwharf/runtime';
 import type * as bodyMemory from './body-memory.js';
 import type * as frameWriter from './frame-writer.js';
@@ -100,8 +100,13 @@
       return {kind: 'lost', sent: false};
     }
     const id = (this.lastOutgoingId += 2);
-    // Written before registering, because encoding too large a frame throws.
-    this.options.writer.write({kind: 'call', call: id, ...head, permission});
+    // Encoded before registering, because encoding too large a frame throws.
+    const frame = protocol.encodeFrame({
+      kind: 'call',
+      call: id,
+      ...head,
+      permission,
+    });
     const exchange = new outgoingExchange.OutgoingExchange(
       this.outgoingContext,
       id,
@@ -110,7 +115,10 @@
       sentAfterMs,
     );
     this.outgoing.set(id, exchange);
-    if (body) void exchange.sendBody(body);
+    // Written after registering, because a frame beyond the output limit ends
+    // the connection and all calls that are in flight.
+    this.options.writer.writeEncoded(frame);
+    if (body && this.outgoing.has(id)) void exchange.sendBody(body);
     return exchange.result;
   }
 
