--- a/packages/transport/src/call-table.ts
+++ b/packages/transport/src/call-table.ts
@@ -1,4 +1,4 @@
-import type * as protocol from '@camphorwharf/protocol';
+import * as protocol from '@camphorwharf/protocol';
 import * as runtime from '@camphorwharf/runtime';
 import type * as bodyMemory from './body-memory.js';
 import type * as frameWriter from './frame-writer.js';
@@ -100,8 +100,13 @@
       return {kind: 'lost', sent: false};
     }
     const id = (this.lastOutgoingId += 2);
-    // Written before registering, because encoding too large a frame throws.
-    this.options.writer.write({kind: 'call', call: id, ...head, permission});
+    // Encoded before registering, because encoding too large a frame throws.
+    const frame = protocol.encodeFrame({
+      kind: 'call',
+      call: id,
+      ...head,
+      permission,
+    });
     const exchange = new outgoingExchange.OutgoingExchange(
       this.outgoingContext,
       id,
@@ -110,12 +115,15 @@
       sentAfterMs,
     );
     this.outgoing.set(id, exchange);
-    if (body) void exchange.sendBody(body);
+    // Written after registering, because a frame beyond the output limit ends
+    // the connection and all calls that are in flight.
+    this.options.writer.writeEncoded(frame);
+    if (body && this.outgoing.has(id)) void exchange.sendBody(body);
     return exchange.result;
   }
 
   /** Accepts a call from the remote end. */
-  accept(frame: protocol.Call, permissionValid: boolean): void {
+  accept(frame: protocol.Call, permissionValid: boolean, nowMs: number): void {
     if (frame.call % 2 !== Math.abs(this.lastIncomingId % 2)) {
       this.options.onDropped('unknownCall');
       return;
@@ -129,6 +137,7 @@
       this.incomingContext,
       frame,
       permissionValid,
+      nowMs,
     );
     this.incoming.set(frame.call, exchange);
     if (this.runningHandlers >= options.MAXIMUM_CONCURRENT_CALLS) {
