Begin nested requests late in a stop only if their time is left

Cause: a request of a backend server could begin until 4.7 s after the signal, whatever its length; connections close at 5.3 s.

Change: it begins only if the time that its route took at this host is left, or the objective of a route not seen yet; a nested call of a peer only if twice the average run time of the target is left. Otherwise it is refused and has not run.

A request that takes longer than those of its route before is still cut. Not played on a site.

--- a/packages/host-daemon/src/peer-request-handler.ts
+++ b/packages/host-daemon/src/peer-request-handler.ts
@@ -16,6 +16,9 @@
  */
 const MAXIMUM_SINGLE_FRAME_BYTES = 1024 * 1024;
 
+/** Most calls take less than the average run time times this. */
+const RUN_TIME_MARGIN = 2;
+
 export interface PeerRequestHandlerOptions {
   readonly clock: runtime.Clock;
   readonly service: string;
@@ -80,7 +83,9 @@
     }
     const nowMs = clock.monotonicMs();
     // A peer may not know of the stop yet.
-    if (!this.options.stopSchedule.mayBegin(head.nested ?? false, nowMs)) {
+    const {stopSchedule} = this.options;
+    const expectedMs = local.runMs * RUN_TIME_MARGIN;
+    if (!stopSchedule.mayBegin(head.nested ?? false, nowMs, expectedMs)) {
       this.refuse(call, 'targetLeaving', 0);
       return;
     }
--- a/packages/host-daemon/src/request-handler.ts
+++ b/packages/host-daemon/src/request-handler.ts
@@ -116,7 +116,7 @@
   ): Promise<callerHttpServer.CallerResponse | null> {
     const {clock, limits, stopSchedule} = this.options;
     const nested = withoutKey && route.isPublic;
-    if (!stopSchedule.mayBegin(nested, clock.monotonicMs())) {
+    if (!stopSchedule.mayBeginRequest({nested, route}, clock.monotonicMs())) {
       return this.responses.refuse(requestId, 'targetLeaving', 0, arrivedMs);
     }
     const remainingMs = Math.min(
@@ -249,7 +249,7 @@
     if (scheduling !== 'start') {
       return Promise.resolve(targetCall.refusedResult(scheduling));
     }
-    return stopSchedule.mayBegin(request.nested, clock.monotonicMs())
+    return stopSchedule.mayBeginRequest(request, clock.monotonicMs())
       ? forwarder.forward(request)
       : Promise.resolve(targetCall.refusedResult('targetLeaving'));
   }
--- a/packages/host-daemon/src/response-builder.ts
+++ b/packages/host-daemon/src/response-builder.ts
@@ -6,6 +6,7 @@
 import type * as routedRequest from './routed-request.js';
 import * as requestLogger from './request-logger.js';
 import type * as fleetState from './fleet-state.js';
+import type * as stopSchedule from './stop-schedule.js';
 import * as roundRatio from './round-ratio.js';
 import type * as targetCall from './target-call.js';
 
@@ -45,6 +46,7 @@
   readonly requestLog: requestLogger.RequestLogger;
   readonly binding: httpBinding.HttpBinding;
   readonly state: fleetState.FleetState;
+  readonly stopSchedule: stopSchedule.StopSchedule;
 }
 
 /** Builds, counts and logs the responses to callers. */
@@ -66,6 +68,9 @@
       this.recordAbandoned(request, elapsedMs);
       return null;
     }
+    if (result.kind !== 'refused') {
+      this.options.stopSchedule.runTimes.note(request.route, elapsedMs);
+    }
     switch (result.kind) {
       case 'answer':
         metrics.observeSeconds(
--- a/packages/host-daemon/src/stop-schedule.ts
+++ b/packages/host-daemon/src/stop-schedule.ts
@@ -1,3 +1,6 @@
+import type * as routing from '@camphorwharf/routing';
+import * as runTimes from './run-times.js';
+
 /**
  * Responses ask clients to close their connections from the start of a stop.
  * After this time all clients have done so and the platform has directed new
@@ -10,7 +13,8 @@
 
 /**
  * Time before the end of a stop from which nested requests are refused as well.
- * Until then they complete the requests that are still running.
+ * Until then they complete the requests that are still running, if their
+ * expected time is left.
  */
 const NESTED_RESERVE_MS = 600;
 
@@ -20,6 +24,8 @@
 /** Decides what a daemon still begins while it stops. */
 export class StopSchedule {
   private startedMs: number | null = null;
+  /** Times of the requests that this host has answered. */
+  readonly runTimes = new runTimes.RunTimes();
 
   /** `limitMs` is the time from the stop signal until the process is killed. */
   constructor(private readonly limitMs: number) {}
@@ -46,12 +52,26 @@
       : Math.min(this.startedMs + ACCEPTING_MS, this.endMs);
   }
 
-  /** Whether work for a request may begin; `nested` as in `RoutedRequest`. */
-  mayBegin(nested: boolean, nowMs: number): boolean {
-    const untilMs = nested
-      ? Math.max(this.refuseFromMs, this.endMs - NESTED_RESERVE_MS)
-      : this.refuseFromMs;
-    return nowMs < untilMs;
+  /** Whether work for this request may begin. */
+  mayBeginRequest(
+    request: {readonly nested: boolean; readonly route: routing.Route},
+    nowMs: number,
+  ): boolean {
+    const {nested, route} = request;
+    return this.mayBegin(nested, nowMs, this.runTimes.expectedMs(route));
+  }
+
+  /**
+   * Whether work for a request may begin that takes `expectedMs`; `nested` as
+   * in `RoutedRequest`.
+   */
+  mayBegin(nested: boolean, nowMs: number, expectedMs = 0): boolean {
+    if (nowMs < this.refuseFromMs) return true;
+    return (
+      nested &&
+      nowMs < this.endMs - NESTED_RESERVE_MS &&
+      expectedMs <= this.remainingMs(nowMs)
+    );
   }
 
   /**
--- a/packages/host-daemon/src/test/peer-request-handler_test.ts
+++ b/packages/host-daemon/src/test/peer-request-handler_test.ts
@@ -13,18 +13,21 @@
  * Guards against calls of peers that have not heard of a stop: they were run
  * late in it and cut off at its end.
  */
-const CASES: ReadonlyArray<
-  readonly [string, {nested: boolean; elapsedMs: number | null}, boolean]
-> = [
+const CASES: ReadonlyArray<readonly [string, CallOptions, boolean]> = [
   ['without a stop', {nested: false, elapsedMs: null}, true],
   ['early in a stop', {nested: false, elapsedMs: 1_000}, true],
   ['late in a stop', {nested: false, elapsedMs: 4_000}, false],
   ['a nested call late in a stop', {nested: true, elapsedMs: 4_000}, true],
   ['a nested call at its end', {nested: true, elapsedMs: 5_200}, false],
+  [
+    'a long nested call late in a stop',
+    {nested: true, elapsedMs: 4_000, runMs: 800},
+    false,
+  ],
 ];
-for (const [name, {nested, elapsedMs}, runs] of CASES) {
+for (const [name, options, runs] of CASES) {
   test(`a call of a peer ${name} is ${runs ? 'run' : 'refused'}`, async t => {
-    const outcome = await handleCall({nested, elapsedMs});
+    const outcome = await handleCall(options);
     t.is(outcome.ran, runs);
     t.deepEqual(outcome.refusals, [runs ? 'overloaded' : 'targetLeaving']);
   });
@@ -53,6 +56,8 @@
   readonly nested?: boolean;
   /** Time since the start of a stop, in milliseconds; null without one. */
   readonly elapsedMs?: number | null;
+  /** Average run time of calls at the target. */
+  readonly runMs?: number;
   readonly bodyBytes?: number;
   readonly memory?: transport.BodyMemory;
 }
@@ -61,6 +66,7 @@
 async function handleCall({
   nested = false,
   elapsedMs = null,
+  runMs = 50,
   bodyBytes = 0,
   memory = new transport.BodyMemory(),
 }: CallOptions): Promise<{ran: boolean; refusals: string[]}> {
@@ -83,6 +89,7 @@
     },
     local: {
       load: undefined,
+      runMs,
       run: () => {
         outcome.ran = true;
         return Promise.resolve(targetCall.refusedResult('overloaded'));
