--- a/packages/transport/src/buffered-exchange-handler.ts
+++ b/packages/transport/src/buffered-exchange-handler.ts
@@ -114,15 +114,16 @@
   /** Called immediately before the first byte is written. */
   onRequestStart(controller: undici.Dispatcher.DispatchController): void {
     // undici retries a request after some errors; this must be prevented.
-    const retried = this.controller !== null;
-    this.controller = controller;
-    if (retried) {
-      this.fail(
-        new runtime.ConnectionError(
-          'The connection to the backend server ended during the request.',
-        ),
+    if (this.controller) {
+      const error = new runtime.ConnectionError(
+        'The connection to the backend server ended during the request. ' +
+          'Check that it runs.',
       );
+      this.fail(error);
+      controller.abort(error);
+      return;
     }
+    this.controller = controller;
     if (this.failure) controller.abort(this.failure);
     this.bytesReadBefore = this.connection.socket?.bytesRead ?? 0;
   }
