Count a connection that the library replaced as new

Callers saw: an answer over a connection that had just been opened named the uses and the age of the one before.

Cause: when a server closes an idle connection while a request waits for it, undici opens another for that request. The counts were set when the client chose the connection.

Change: the counts start with each opened socket, and so does the knowledge of bytes behind a response.

--- a/packages/transport/src/buffered-exchange-client.ts
+++ b/packages/transport/src/buffered-exchange-client.ts
@@ -55,7 +55,6 @@
       connection,
       reusable => this.release(connection, reusable),
       this.memory,
-      this.options.nowMs,
     );
     handler.start(connection.client, request);
     return handler;
@@ -84,7 +83,7 @@
     if (this.connections.size >= this.options.maximumConnections()) return null;
     const connection = new serverConnection.ServerConnection(
       this.origin,
-      nowMs,
+      this.options.nowMs,
     );
     this.connections.add(connection);
     return connection;
--- a/packages/transport/src/buffered-exchange-handler.ts
+++ b/packages/transport/src/buffered-exchange-handler.ts
@@ -77,7 +77,6 @@
     private readonly connection: serverConnection.ServerConnection,
     private readonly releaseConnection: (reusable: boolean) => void,
     private readonly memory: bodyMemory.BodyMemory,
-    private readonly nowMs: () => number,
   ) {
     this.result = new Promise(resolve => {
       this.resolve = resolve;
@@ -249,7 +248,7 @@
 
   private complete(body: Uint8Array): void {
     const {connection} = this;
-    const {hasTrailingBytes, uses} = connection;
+    const {hasTrailingBytes} = connection;
     this.releaseConnection(
       !this.connectionClose && !hasTrailingBytes && connection.isOpen,
     );
@@ -259,7 +258,7 @@
       headers: this.headers,
       body,
       hasTrailingBytes,
-      connection: {uses, ageMs: this.nowMs() - connection.openedMs},
+      connection: connection.use,
     });
   }
 
--- a/packages/transport/src/server-connection.ts
+++ b/packages/transport/src/server-connection.ts
@@ -29,10 +29,11 @@
   uses = 0;
   idleSinceMs = 0;
   private hasReturnedBytes = false;
+  private openedMs = 0;
 
   constructor(
     origin: string,
-    readonly openedMs: number,
+    private readonly nowMs: () => number,
   ) {
     const connect = undici.buildConnector({timeout: CONNECT_TIMEOUT_MS});
     this.client = new undici.Client(origin, {
@@ -43,8 +44,8 @@
       keepAliveTimeout: IDLE_TIMEOUT_MS,
       connect: (connectOptions, callback) =>
         connect(connectOptions, (...outcome) => {
-          this.socket = outcome[1];
-          if (this.socket) this.watchReturnedBytes(this.socket);
+          const [error, socket] = outcome;
+          if (!error) this.open(socket);
           callback(...outcome);
         }),
     });
@@ -60,6 +61,11 @@
     return error != null && error.code !== EXPECTED_CLOSE_CODE;
   }
 
+  /** Valid from the response head on. */
+  get use(): ConnectionUse {
+    return {uses: this.uses, ageMs: this.nowMs() - this.openedMs};
+  }
+
   /** Whether another request may be sent on the connection. */
   get isOpen(): boolean {
     return this.socket !== null && !this.socket.destroyed;
@@ -69,6 +75,18 @@
     this.client.destroy().catch(() => undefined);
   }
 
+  /**
+   * undici also opens a connection on its own, for a request that has not been
+   * sent when the server closes the idle one.
+   */
+  private open(socket: net.Socket): void {
+    this.socket = socket;
+    this.uses = 1;
+    this.openedMs = this.nowMs();
+    this.hasReturnedBytes = false;
+    this.watchReturnedBytes(socket);
+  }
+
   /**
    * undici stops parsing at the end of a response after which it closes the
    * connection, and returns the rest of the read to the socket.
--- a/packages/transport/src/test/repeated-start_test.ts
+++ b/packages/transport/src/test/repeated-start_test.ts
@@ -75,14 +75,13 @@
     // Guards against a request that the library repeats on a new connection.
     const connection = new serverConnection.ServerConnection(
       'http://127.0.0.1:1',
-      0,
+      () => 0,
     );
     t.teardown(() => connection.close());
     const exchange = new bufferedExchangeHandler.BufferedExchangeHandler(
       connection,
       () => undefined,
       new bodyMemory.BodyMemory(),
-      () => 0,
     );
     t.true(isStoppedAgain(exchange as unknown as Handler, steps));
     t.is((await exchange.result).kind, kind);
@@ -112,14 +111,13 @@
   // Guards against a request that was reported as not sent and leaves later.
   const connection = new serverConnection.ServerConnection(
     'http://127.0.0.1:1',
-    0,
+    () => 0,
   );
   t.teardown(() => connection.close());
   const exchange = new bufferedExchangeHandler.BufferedExchangeHandler(
     connection,
     () => undefined,
     new bodyMemory.BodyMemory(),
-    () => 0,
   );
   exchange.cancel();
   const controller = new FakeController();
--- a/packages/transport/src/test/trailing-bytes_test.ts
+++ b/packages/transport/src/test/trailing-bytes_test.ts
@@ -1,4 +1,5 @@
 import * as net from 'node:net';
+import * as timers from 'node:timers/promises';
 import test from 'ava';
 import * as fixture from './buffered-exchange-fixture.js';
 
@@ -103,6 +104,35 @@
   t.deepEqual(ages, [0, 200, 400]);
 });
 
+// In the first turn the closed connection is still taken for an idle one.
+for (const turns of [1, 2, 3]) {
+  test(`a connection that replaces one closed ${turns} turns before counts as new`, async t => {
+    // Guards against logs that name the age of a connection that has ended: the
+    // library replaces it on its own.
+    let nowMs = 1_000;
+    const sockets: net.Socket[] = [];
+    const server = createServer(`${HEAD}${LENGTH}\r\nhello`);
+    server.on('connection', socket => sockets.push(socket));
+    const client = await fixture.startClient(t, server, {
+      maximumConnections: 1,
+      nowMs: () => nowMs,
+    });
+    await client.send(fixture.REQUEST).result;
+    nowMs += 200;
+    sockets[0].end();
+    for (let turn = 0; turn < turns; turn++) await timers.setImmediate();
+    const {result} = client.send(fixture.REQUEST);
+    nowMs += 300;
+    const answer = await result;
+    t.is(answer.kind, 'answer');
+    t.is(sockets.length, 2);
+    t.deepEqual(answer.kind === 'answer' && answer.connection, {
+      uses: 1,
+      ageMs: 0,
+    });
+  });
+}
+
 function createServer(response: string): net.Server {
   return net.createServer(socket => {
     socket.on('error', () => undefined);
