Close connections that deliver the response to another request

Callers saw: after a whole earlier response had arrived between the last read of an idle connection and the write of a request, the request got that response, and the next request on the connection got the response to the one before. All were rejected for their ids, so requests that had run ended as unknown.

Cause: a connection became idle again whatever response it had delivered.

Change: a request may say which response is its own (ownsResponse). The connection of any other response closes.

A closed connection costs one new one for each response of another request.

--- a/packages/transport/src/buffered-exchange-handler.ts
+++ b/packages/transport/src/buffered-exchange-handler.ts
@@ -27,6 +27,12 @@
    * have closed it and a non-idempotent request cannot be retried.
    */
   readonly maximumIdleMs: number;
+  /**
+   * Whether a response with these headers is that of this request. If not, its
+   * connection closes: the own response would be taken for that of the next
+   * request. Absent: every response is.
+   */
+  readonly ownsResponse?: (headers: protocol.HeaderList) => boolean;
 }
 
 /** The result of a request to the backend server. */
@@ -61,6 +67,7 @@
   readonly result: Promise<BufferedExchangeResult>;
   private resolve!: (result: BufferedExchangeResult) => void;
   private controller: undici.Dispatcher.DispatchController | null = null;
+  private ownsResponse: (headers: protocol.HeaderList) => boolean = () => true;
   private status = 0;
   private headers: protocol.HeaderList = [];
   private lengthDelimited = false;
@@ -84,6 +91,7 @@
   }
 
   start(client: undici.Client, request: BufferedExchangeRequest): void {
+    if (request.ownsResponse) this.ownsResponse = request.ownsResponse;
     const headers = request.headers.flatMap(([name, value]) => [name, value]);
     const hasStreamedBody =
       request.body !== null && !(request.body instanceof Uint8Array);
@@ -250,7 +258,10 @@
     const {connection} = this;
     const {hasTrailingBytes} = connection;
     this.releaseConnection(
-      !this.connectionClose && !hasTrailingBytes && connection.isOpen,
+      !this.connectionClose &&
+        !hasTrailingBytes &&
+        connection.isOpen &&
+        this.ownsResponse(this.headers),
     );
     this.resolve({
       kind: 'answer',
--- a/packages/transport/src/test/request-counter.ts
+++ b/packages/transport/src/test/request-counter.ts
@@ -40,7 +40,7 @@
   const connectionNumbers = new Map<string, number>();
   const sockets = new Set<net.Socket>();
   let connections = 0;
-  const server = net.createServer(socket => {
+  const server = net.createServer({noDelay: true}, socket => {
     sockets.add(socket);
     const connectionNumber = ++connections;
     socket.on('error', () => undefined);
