--- a/packages/transport/src/test/single-send_test.ts
+++ b/packages/transport/src/test/single-send_test.ts
@@ -179,6 +179,26 @@
     }
 
     for (const [body, request] of Object.entries(sender.UPLOADS)) {
+      for (const action of ['cancel', 'destroy'] as const) {
+        test(`${client} client, ${connection} connection, ${body}: one head after ${action} during the upload`, async t => {
+          // Guards against an upload that is sent again after its connection
+          // was closed.
+          const server = await counter.startRequestCounter(t, {
+            onRequest: ({socket}) => socket.write(COMPLETE),
+          });
+          const exchange = createSender(t, server.port);
+          if (connection === 'reused') await exchange.openConnection();
+          const result = exchange.send(request());
+          while (!server.heads.has(sender.REQUEST_ID)) {
+            await timers.setTimeout(1);
+          }
+          exchange[action]();
+          t.is(await result, 'lost');
+          await timers.setTimeout(SETTLING_MS);
+          checkCounts(t, server, 'lost');
+        });
+      }
+
       for (const [name, ending] of Object.entries(ENDINGS)) {
         test(`${client} client, ${connection} connection, ${body}: one head when the server ${name} during the upload`, async t => {
           // Guards against an upload that is sent again when the server ends
