--- a/packages/transport/src/buffered-exchange-handler.ts
+++ b/packages/transport/src/buffered-exchange-handler.ts
@@ -89,7 +89,6 @@
     private readonly connection: serverConnection.ServerConnection,
     private readonly releaseConnection: (reusable: boolean) => void,
     private readonly memory: bodyMemory.BodyMemory,
-    private readonly nowMs: () => number,
   ) {
     this.result = new Promise(resolve => {
       this.resolve = resolve;
@@ -127,15 +126,16 @@
   /** Called immediately before the first byte is written. */
   onRequestStart(controller: undici.Dispatcher.DispatchController): void {
     // undici retries a request after some errors; this must be prevented.
-    const retried = this.controller !== null;
-    this.controller = controller;
-    if (retried) {
-      this.fail(
-        new runtime.ConnectionError(
-          'The connection to the backend server ended during the request.',
-        ),
+    if (this.controller) {
+      const error = new runtime.ConnectionError(
+        'The connection to the backend server ended during the request. ' +
+          'Check that it runs.',
       );
+      this.fail(error);
+      controller.abort(error);
+      return;
     }
+    this.controller = controller;
     if (this.failure) controller.abort(this.failure);
     this.bytesReadBefore = this.connection.socket?.bytesRead ?? 0;
   }
@@ -261,14 +261,14 @@
 
   private complete(body: Uint8Array): void {
     const {connection} = this;
-    const {hasTrailingBytes, uses} = connection;
+    const {hasTrailingBytes} = connection;
     const response: BufferedResponse = {
       kind: 'answer',
       status: this.status,
       headers: this.headers,
       body,
       hasTrailingBytes,
-      connection: {uses, ageMs: this.nowMs() - connection.openedMs},
+      connection: connection.use,
     };
     this.releaseConnection(
       !this.connectionClose &&
