Accept responses that passed a proxy named by its address

Callers saw 502 for each response of a sound server whose Via header names a proxy by an IPv4 address or by digits, as in "HTTP/1.1 192.168.0.1:8080", and the connection to the server closed after each.

Cause: the check for a status line within a head matched any three digits behind the version.

Change: a status code ends with white space or with the text, as a parser requires it of a status line.

Evidence: the three new cases fail without the change; with it response-head, joined-heads of both packages and response-validator pass (175 tests).

--- a/packages/host-daemon/src/response-validator.ts
+++ b/packages/host-daemon/src/response-validator.ts
@@ -22,7 +22,7 @@
   ...NOT_EXECUTED_STATUSES,
 ]);
 
-const STATUS_LINE_PATTERN = /HTTP\/\d(\.\d)? \d{3}/;
+const STATUS_LINE_PATTERN = /HTTP\/\d(\.\d)? \d{3}(?=\s|$)/;
 
 /** Why a response of the backend server proves nothing about a call. */
 export type RejectionCause =
--- a/packages/host-daemon/src/test/response-validator_test.ts
+++ b/packages/host-daemon/src/test/response-validator_test.ts
@@ -63,6 +63,11 @@
   ],
   'a failure': [500, [ID, PROOF], 'complete'],
   'a failure without proof': [500, [ID], 'complete'],
+  'a success behind a proxy with an address': [
+    200,
+    [ID, PROOF, ['Via', 'HTTP/1.1 192.168.0.1:8080']],
+    'complete',
+  ],
   'a success of the instance asked': [200, [ID, PROOF, INSTANCE], 'complete'],
   'a refusal by the instance asked': [503, [ID, NOT_RUN, INSTANCE], 'refused'],
   'a refusal with status 400': [400, [ID, NOT_RUN], 'refused'],
--- a/packages/transport/src/response-head.ts
+++ b/packages/transport/src/response-head.ts
@@ -2,10 +2,10 @@
 import * as runtime from '@camphorwharf/runtime';
 
 /**
- * Start of a response. A product name alone, as in `Via: HTTP/1.1 proxy`, does
- * not match.
+ * Start of a response. A proxy, as in `Via: HTTP/1.1 192.168.0.1`, does not
+ * match.
  */
-const STATUS_LINE = /HTTP\/\d\.\d \d{3}/;
+const STATUS_LINE = /HTTP\/\d\.\d \d{3}(?=\s|$)/;
 
 const TOKEN = /^[\w!#$%&'*+.^`|~-]+$/;
 
--- a/packages/transport/src/test/response-head_test.ts
+++ b/packages/transport/src/test/response-head_test.ts
@@ -63,6 +63,8 @@
   'keep-alive': head([['Keep-Alive', 'timeout=5, max=100']]),
   'a proxy': head([['Via', 'HTTP/1.1 proxy, HTTP/2 edge']]),
   'a proxy whose name begins with digits': head([['Via', 'HTTP/1.1 10-proxy']]),
+  'a proxy with a name of digits': head([['Via', 'HTTP/1.1 100-proxy']]),
+  'a proxy with an address': head([['Via', 'HTTP/1.1 192.168.0.1:8080']]),
   'a product': head([['Server', 'Apache/2.4.1 (Unix) HTTP/1.1']]),
   'an upgrade': head([['Upgrade', 'HTTP/2.0, SHTTP/1.3']]),
   'a link': head([['Location', 'http://127.0.0.1:8080/1.1 200']]),
