Close the connection after a backend server denies an instance

Callers could get 503 for a request that had run, and it could run at a further server, if a server replaced another and sent its 421 twice: the request is sent again under the new instance to the same address, and the copy, which carries the same request id, is read as the response.

Cause: a connection stayed in use after a 421, and the request id is the same in all attempts of one request.

Change: the connection closes after each 421. A refusal for lack of room needs no such rule: a request is sent to an instance once, and the connections of one process end with it.

Evidence: the new test gets "refused" for a request that runs without the change, and its own response with it.

--- a/packages/host-daemon/src/local-backend-client.ts
+++ b/packages/host-daemon/src/local-backend-client.ts
@@ -73,7 +73,12 @@
         : NON_IDEMPOTENT_IDLE_LIMIT_MS,
       isExpected: response => {
         interpreted.result = this.interpretResponse(call, response);
-        return interpreted.result.kind !== 'unknown';
+        // The request may be sent to the instance that has replaced the denied
+        // one, where a late copy of this denial would be taken for its response.
+        return (
+          response.status !== responseValidator.MISDIRECTED_REQUEST &&
+          interpreted.result.kind !== 'unknown'
+        );
       },
     });
     const cancel = () => exchange.cancel();
--- a/packages/host-daemon/src/response-validator.ts
+++ b/packages/host-daemon/src/response-validator.ts
@@ -6,7 +6,7 @@
 /**
  * The backend server at this address is not the instance named in the request.
  */
-const MISDIRECTED_REQUEST = 421;
+export const MISDIRECTED_REQUEST = 421;
 
 /**
  * Status codes that tell a caller that its request has not run. They are passed
