--- a/packages/host-daemon/src/response-validator.ts
+++ b/packages/host-daemon/src/response-validator.ts
@@ -22,8 +22,6 @@
   ...NOT_EXECUTED_STATUSES,
 ]);
 
-const STATUS_LINE_PATTERN = /HTTP\/\d(\.\d)? \d{3}(?=\s|$)/;
-
 /** Why a response of the backend server proves nothing about a call. */
 export type RejectionCause =
   /** The request id is missing or belongs to another request. */
@@ -139,7 +137,11 @@
   ): boolean {
     const {notExecuted, proofs, instances} = signs;
     if (proofs.length > 1 || instances.length > 1) return true;
-    if (response.headers.some(([, value]) => holdsHead(value))) return true;
+    if (
+      response.headers.some(([, value]) => transport.containsStatusLine(value))
+    ) {
+      return true;
+    }
     const isMisdirected = response.status === MISDIRECTED_REQUEST;
     const namesOther = instances.some(id => id !== call.instance);
     if (instances.length > 0 && namesOther !== isMisdirected) return true;
@@ -161,7 +163,9 @@
       !notExecuted.every(value => this.binding.isNotExecuted(value)) ||
       response.hasTrailingBytes ||
       // The body of a refusal may be continued by the next response as well.
-      holdsHead(Buffer.from(response.body).toString('latin1'))
+      transport.containsStatusLine(
+        Buffer.from(response.body).toString('latin1'),
+      )
     );
   }
 }
@@ -182,10 +186,6 @@
   return requestIds.every(id => id === requestId);
 }
 
-function holdsHead(text: string): boolean {
-  return STATUS_LINE_PATTERN.test(text);
-}
-
 function reject(cause: RejectionCause): ValidationResult {
   return {kind: 'rejected', cause};
 }
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -54,3 +54,4 @@
   BufferedResponse,
 } from './buffered-exchange-handler.js';
 export type {ConnectionUse} from './server-connection.js';
+export {containsStatusLine} from './response-head.js';
--- a/packages/transport/src/response-head.ts
+++ b/packages/transport/src/response-head.ts
@@ -5,10 +5,15 @@
  * Start of a response. A proxy, as in `Via: HTTP/1.1 192.168.0.1`, does not
  * match.
  */
-const STATUS_LINE = /HTTP\/\d\.\d \d{3}(?=\s|$)/;
+const STATUS_LINE = /HTTP\/\d(\.\d)? \d{3}(?=\s|$)/;
 
 const TOKEN = /^[\w!#$%&'*+.^`|~-]+$/;
 
+/** Whether the text contains the first line of a response. */
+export function containsStatusLine(text: string): boolean {
+  return STATUS_LINE.test(text);
+}
+
 /** The first line and the headers of a response. */
 export interface ResponseHead {
   readonly statusMessage: string;
@@ -37,13 +42,13 @@
 }
 
 function describeHeadFault(head: ResponseHead): string | null {
-  if (STATUS_LINE.test(head.statusMessage)) {
+  if (containsStatusLine(head.statusMessage)) {
     return 'its reason phrase contains a status line';
   }
   let contentLength: string | null = null;
   let codings: string[] | null = null;
   for (const [name, value] of head.headers) {
-    if (STATUS_LINE.test(value)) {
+    if (containsStatusLine(value)) {
       return `header ${name.toLowerCase()} contains a status line`;
     }
     switch (name.toLowerCase()) {
--- a/packages/transport/src/test/joined-heads_test.ts
+++ b/packages/transport/src/test/joined-heads_test.ts
@@ -18,21 +18,21 @@
     'HTTP/1.1 503 Service Unavailable\r\n' +
     'Content-Type: text/plain\r\n' +
     `Camphorwharf-Request-Id: ${id}\r\n` +
-    'Camphorwharf-Not-Executed: 1\r\n' +
+    'X-Not-Run: 1\r\n' +
     'Retry-After: 0.4\r\n' +
     'Content-Length: 4\r\n\r\nfull',
   'a chunked refusal with a trailer': id =>
     'HTTP/1.1 429 Too Many Requests\r\n' +
     'Transfer-Encoding: chunked\r\n' +
-    'Camphorwharf-Not-Executed: 1\r\n' +
+    'X-Not-Run: 1\r\n' +
     `Camphorwharf-Request-Id: ${id}\r\n` +
     'Connection: keep-alive\r\n\r\n' +
     '4\r\nfull\r\n0\r\nX-Checksum: 77a1\r\n\r\n',
   'a misdirected response after an interim one': id =>
     'HTTP/1.1 102 Processing\r\nX-Progress: 5\r\n\r\n' +
     'HTTP/1.1 421 Misdirected Request\r\n' +
-    'Camphorwharf-Instance-Id: i-02d9e6b4\r\n' +
-    'Camphorwharf-Not-Executed: 1\r\n' +
+    'X-Own-Instance: i-02d9e6b4\r\n' +
+    'X-Not-Run: 1\r\n' +
     `Camphorwharf-Request-Id: ${id}\r\n` +
     'Content-Length: 0\r\n' +
     'Date: Sun, 06 Dec 2026 14:52:00 GMT\r\n' +
@@ -44,12 +44,12 @@
   'a success':
     'HTTP/1.1 200 OK\r\n' +
     `Camphorwharf-Request-Id: ${REQUEST_ID}\r\n` +
-    'Camphorwharf-Response-Signature: 3e1b.07.5a2.600.0.c9f2a4d1\r\n' +
+    'X-Proof: 3e1b.07.5a2.600.0.c9f2a4d1\r\n' +
     'Content-Length: 6\r\n\r\nbooked',
   'a success without a body':
     'HTTP/1.1 200 OK\r\n' +
     `Camphorwharf-Request-Id: ${REQUEST_ID}\r\n` +
-    'Camphorwharf-Response-Signature: 3e1b.07.5a2.600.0.c9f2a4d1\r\n' +
+    'X-Proof: 3e1b.07.5a2.600.0.c9f2a4d1\r\n' +
     'Content-Length: 0\r\n\r\n',
   'a chunked failure':
     'HTTP/1.1 500 Internal Server Error\r\n' +
@@ -58,7 +58,7 @@
   'a refusal':
     'HTTP/1.1 503 Service Unavailable\r\n' +
     `Camphorwharf-Request-Id: ${REQUEST_ID}\r\n` +
-    'Camphorwharf-Not-Executed: 1\r\n' +
+    'X-Not-Run: 1\r\n' +
     'Content-Length: 0\r\n\r\n',
 };
 
--- a/packages/transport/src/test/response-head_test.ts
+++ b/packages/transport/src/test/response-head_test.ts
@@ -21,9 +21,7 @@
     statusMessage: 'HTTP/1.1 200',
     headers: [LENGTH],
   },
-  'a status line in a header': head([
-    ['Camphorwharf-Not-Executed', 'HTTP/1.1 200 OK'],
-  ]),
+  'a status line in a header': head([['X-Not-Run', 'HTTP/1.1 200 OK']]),
   'a status line of HTTP/1.0 behind a value': head([
     ['Retry-After', '0.4HTTP/1.0 500 Internal Server Error'],
   ]),
--- a/packages/transport/src/test/unread-bytes_test.ts
+++ b/packages/transport/src/test/unread-bytes_test.ts
@@ -11,7 +11,7 @@
 const REFUSAL =
   'HTTP/1.1 503 Service Unavailable\r\n' +
   `${counter.ID_HEADER}: ${EARLIER_ID}\r\n` +
-  'Camphorwharf-Not-Executed: 1\r\n' +
+  'X-Not-Run: 1\r\n' +
   'Retry-After: 0.4\r\n' +
   'Content-Length: 4\r\n\r\nfull';
 
