Model check: delay frames for longer than a tombstone is kept

The longest delay was 6 s, longer than the former tombstone of 4 s but not than that of 15 s, so that searches and random walks no longer delivered a call after its tombstone had expired. A delay of 18 s is added.

--- a/packages/model-check/src/actions.ts
+++ b/packages/model-check/src/actions.ts
@@ -59,6 +59,8 @@
       {kind: 'lose', from: host, durationMs: 4_000},
       {kind: 'delay', from: host, durationMs: 1_000, byMs: 1_500},
       {kind: 'delay', from: host, durationMs: 1_000, byMs: 6_000},
+      // Longer than a tombstone is kept.
+      {kind: 'delay', from: host, durationMs: 1_000, byMs: 18_000},
       {kind: 'duplicate', from: host, durationMs: 1_000},
       {kind: 'leave', host},
       {kind: 'unlist', host},
