--- a/packages/daemon/src/test/target-handler_test.ts
+++ b/packages/daemon/src/test/target-handler_test.ts
@@ -66,6 +66,7 @@
 
 interface IncomingOverrides {
   readonly permissionValid?: boolean;
+  readonly acceptedMs?: number;
   readonly service?: string;
   readonly headers?: protocol.HeaderList;
   readonly context?: Partial<protocol.CallContext>;
@@ -102,7 +103,7 @@
       permission: {heartbeatNumber: 1, elapsedMs: 0, remainingMs: 1_000},
     },
     permissionValid: overrides.permissionValid ?? true,
-    acceptedMs: 0,
+    acceptedMs: overrides.acceptedMs ?? 0,
     body: null,
     signal: new AbortController().signal,
     cancelSignal: new AbortController().signal,
@@ -206,6 +207,24 @@
   t.is(controller.inFlight, 0);
 });
 
+/**
+ * Guards against a second run of a call that waited for admission until a
+ * tombstone of it had expired.
+ */
+for (const [waitedMs, end] of [
+  [51_900, 'answer 200'],
+  [52_000, 'refused cancelled finally'],
+] as const) {
+  test(`target: a call that waited for ${waitedMs} ms gets: ${end}`, async t => {
+    const {handler, requests, controller} = createHandler();
+    const {call, ends} = incoming({acceptedMs: -waitedMs});
+    await handler.handle(call);
+    t.deepEqual(ends, [end]);
+    t.is(requests.length, end === 'answer 200' ? 1 : 0);
+    t.is(controller.inFlight, 0);
+  });
+}
+
 test('target: a cancel query for a started call returns started', async t => {
   // Guards against neverStarts for a started call, which would run twice.
   const {handler, startedCalls} = createHandler({
