Notice the end of a log write before a flush counts as blocked

Operators saw a planned stop end with SIGKILL instead of code 0, and lines that were still buffered were lost, if the process stood still for more than 200 ms while it wrote its last lines: on return, the timer of the flush ran before the end of the write was noticed.

Change: the timer lets the event loop poll once before the write counts as blocked.

--- a/packages/runtime/src/line-writer.ts
+++ b/packages/runtime/src/line-writer.ts
@@ -45,7 +45,11 @@
    */
   flush(): Promise<boolean> {
     return new Promise(resolve => {
-      const timer = setTimeout(() => resolve(false), FLUSH_LIMIT_MS);
+      // A write that ended while this process stood still is reported first.
+      const timer = setTimeout(
+        () => setImmediate(() => resolve(false)),
+        FLUSH_LIMIT_MS,
+      );
       this.onWritten = () => {
         clearTimeout(timer);
         resolve(true);
