--- a/packages/transport/src/buffered-exchange-client.ts
+++ b/packages/transport/src/buffered-exchange-client.ts
@@ -1,5 +1,6 @@
 import * as runtime from '@camphorwharf/runtime';
 import * as bodyMemory from './body-memory.js';
+import type * as bufferedExchange from './buffered-exchange.js';
 import * as bufferedExchangeHandler from './buffered-exchange-handler.js';
 import * as serverConnection from './server-connection.js';
 
@@ -38,8 +39,8 @@
 
   /** Starts an exchange, whose result never rejects. */
   send(
-    request: bufferedExchangeHandler.BufferedExchangeRequest,
-  ): bufferedExchangeHandler.BufferedExchange {
+    request: bufferedExchange.BufferedExchangeRequest,
+  ): bufferedExchange.BufferedExchange {
     const connection = this.acquire(request.maximumIdleMs);
     if (!connection) {
       const error = new runtime.ConnectionError(
--- a/packages/transport/src/buffered-exchange-handler.ts
+++ b/packages/transport/src/buffered-exchange-handler.ts
@@ -3,6 +3,7 @@
 import type * as undici from 'undici';
 import * as bodyBuffer from './body-buffer.js';
 import * as bodyMemory from './body-memory.js';
+import type * as bufferedExchange from './buffered-exchange.js';
 import * as framingLimit from './framing-limit.js';
 import * as httpHeaders from './http-headers.js';
 import * as responseHead from './response-head.js';
@@ -14,63 +15,14 @@
 /** A server that sends more interim (1xx) responses is assumed never to end. */
 const MAXIMUM_INTERIM_RESPONSES = 8;
 
-export interface BufferedExchangeRequest {
-  readonly method: string;
-  readonly path: string;
-  /** Sent unchanged; the caller has removed the hop-by-hop headers. */
-  readonly headers: protocol.HeaderList;
-  readonly body: Uint8Array | AsyncIterable<Uint8Array> | null;
-  /** Length of a streamed body; null sends it with chunked encoding. */
-  readonly contentLength: number | null;
-  /**
-   * A connection that was idle for longer is not reused, because the server may
-   * have closed it and a non-idempotent request cannot be retried.
-   */
-  readonly maximumIdleMs: number;
-  /**
-   * Whether this is the response to this request. After any other, the
-   * connection closes, because the right one may still follow on it. By default
-   * every response is.
-   */
-  readonly isExpected?: (response: BufferedResponse) => boolean;
-}
-
-/** A whole response to a request to the backend server. */
-export type BufferedResponse = BufferedExchangeResult & {
-  readonly kind: 'answer';
-};
-
-/** The result of a request to the backend server. */
-export type BufferedExchangeResult =
-  | {
-      readonly kind: 'answer';
-      readonly status: number;
-      readonly headers: protocol.HeaderList;
-      readonly body: Uint8Array;
-      /**
-       * Whether bytes followed the response in the same read. They belong to no
-       * request, but show that the server sent more than it was asked for.
-       */
-      readonly hasTrailingBytes: boolean;
-      readonly connection: serverConnection.ConnectionUse;
-    }
-  /** No byte of the request was written. */
-  | {readonly kind: 'notSent'; readonly error: Error}
-  /** The backend server may have received the request. */
-  | {readonly kind: 'lost'; readonly error: Error};
-
-export interface BufferedExchange {
-  readonly result: Promise<BufferedExchangeResult>;
-  /** Closes the connection; the result is `lost` or `notSent`. */
-  cancel(): void;
-}
-
 /** Buffers the response to one request on one connection. */
 export class BufferedExchangeHandler
-  implements undici.Dispatcher.DispatchHandler, BufferedExchange
+  implements
+    undici.Dispatcher.DispatchHandler,
+    bufferedExchange.BufferedExchange
 {
-  readonly result: Promise<BufferedExchangeResult>;
-  private resolve!: (result: BufferedExchangeResult) => void;
+  readonly result: Promise<bufferedExchange.BufferedExchangeResult>;
+  private resolve!: (result: bufferedExchange.BufferedExchangeResult) => void;
   private controller: undici.Dispatcher.DispatchController | null = null;
   private status = 0;
   private headers: protocol.HeaderList = [];
@@ -83,7 +35,7 @@
   private interimResponses = 0;
   private settled = false;
   private failure: Error | null = null;
-  private isExpected: BufferedExchangeRequest['isExpected'];
+  private isExpected: bufferedExchange.BufferedExchangeRequest['isExpected'];
 
   constructor(
     private readonly connection: serverConnection.ServerConnection,
@@ -95,7 +47,10 @@
     });
   }
 
-  start(client: undici.Client, request: BufferedExchangeRequest): void {
+  start(
+    client: undici.Client,
+    request: bufferedExchange.BufferedExchangeRequest,
+  ): void {
     this.isExpected = request.isExpected;
     const headers = request.headers.flatMap(([name, value]) => [name, value]);
     const hasStreamedBody =
@@ -262,7 +217,7 @@
   private complete(body: Uint8Array): void {
     const {connection} = this;
     const {hasTrailingBytes} = connection;
-    const response: BufferedResponse = {
+    const response: bufferedExchange.BufferedResponse = {
       kind: 'answer',
       status: this.status,
       headers: this.headers,
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -52,6 +52,6 @@
   BufferedExchangeRequest,
   BufferedExchangeResult,
   BufferedResponse,
-} from './buffered-exchange-handler.js';
+} from './buffered-exchange.js';
 export type {ConnectionUse} from './server-connection.js';
 export {containsStatusLine} from './response-head.js';
--- a/packages/transport/src/test/single-send-fixture.ts
+++ b/packages/transport/src/test/single-send-fixture.ts
@@ -1,6 +1,6 @@
 import * as timers from 'node:timers/promises';
 import type * as ava from 'ava';
-import type * as bufferedExchangeHandler from '../buffered-exchange-handler.js';
+import type * as bufferedExchange from '../buffered-exchange.js';
 import * as bufferedFixture from './buffered-exchange-fixture.js';
 import * as http from './http-fixture.js';
 import * as counter from './request-counter.js';
@@ -11,7 +11,7 @@
 export type ResultKind = 'answer' | 'lost' | 'notSent';
 
 export type RequestBody = Pick<
-  bufferedExchangeHandler.BufferedExchangeRequest,
+  bufferedExchange.BufferedExchangeRequest,
   'method' | 'body' | 'contentLength'
 >;
 
@@ -90,7 +90,7 @@
         headers: [[counter.ID_HEADER, id]],
         maximumIdleMs: Infinity,
       });
-    let exchange: bufferedExchangeHandler.BufferedExchange | null = null;
+    let exchange: bufferedExchange.BufferedExchange | null = null;
     return {
       openConnection: async () => {
         await send('earlier', REQUESTS['a GET request']()).result;
--- a/packages/transport/src/test/truncated_response_test.ts
+++ b/packages/transport/src/test/truncated_response_test.ts
@@ -1,6 +1,6 @@
 import * as net from 'node:net';
 import test from 'ava';
-import type * as bufferedExchangeHandler from '../buffered-exchange-handler.js';
+import type * as bufferedExchange from '../buffered-exchange.js';
 import * as fixture from './buffered-exchange-fixture.js';
 
 const STATUS = 'HTTP/1.1 200 OK\r\n';
@@ -94,9 +94,7 @@
   t.false(kinds.includes('answer'));
 });
 
-function bodyOf(
-  result: bufferedExchangeHandler.BufferedExchangeResult,
-): string {
+function bodyOf(result: bufferedExchange.BufferedExchangeResult): string {
   return result.kind === 'answer' ? Buffer.from(result.body).toString() : '';
 }
 
--- a/packages/transport/src/test/unread-bytes_test.ts
+++ b/packages/transport/src/test/unread-bytes_test.ts
@@ -2,7 +2,7 @@
 import * as timers from 'node:timers/promises';
 import type * as ava from 'ava';
 import test from 'ava';
-import type * as bufferedExchangeHandler from '../buffered-exchange-handler.js';
+import type * as bufferedExchange from '../buffered-exchange.js';
 import * as bufferedFixture from './buffered-exchange-fixture.js';
 import * as counter from './request-counter.js';
 
@@ -55,7 +55,7 @@
 function sendRequest(
   client: ReturnType<typeof bufferedFixture.createClient>,
   id: string,
-): Promise<bufferedExchangeHandler.BufferedExchangeResult> {
+): Promise<bufferedExchange.BufferedExchangeResult> {
   return client.send({
     ...bufferedFixture.REQUEST,
     headers: [[counter.ID_HEADER, id]],
@@ -100,15 +100,14 @@
   await sendRequest(client, 'opening');
   // Without this turn the read of the opening response is still going on.
   await timers.setImmediate();
-  const result =
-    await new Promise<bufferedExchangeHandler.BufferedExchangeResult>(
-      resolve => {
-        moment(
-          () => sockets[0].write(stray),
-          () => void sendRequest(client, 'present').then(resolve),
-        );
-      },
-    );
+  const result = await new Promise<bufferedExchange.BufferedExchangeResult>(
+    resolve => {
+      moment(
+        () => sockets[0].write(stray),
+        () => void sendRequest(client, 'present').then(resolve),
+      );
+    },
+  );
   const next = await sendRequest(client, 'next');
   client.destroy();
   return {
@@ -120,7 +119,7 @@
 }
 
 function idsOf(
-  result: bufferedExchangeHandler.BufferedExchangeResult,
+  result: bufferedExchange.BufferedExchangeResult,
 ): string[] | null {
   if (result.kind !== 'answer') return null;
   return result.headers
