Don't count a log in a file as blocked at the end of a stop

A write to a file waits for no reader, but counted as blocked as well.

Change: the limit is 0.4 s, and a file never counts as blocked.

--- a/packages/runtime/src/line-writer.ts
+++ b/packages/runtime/src/line-writer.ts
@@ -4,7 +4,7 @@
 const FLUSH_INTERVAL_MS = 100;
 
 /** Time after which a write at the end of the process counts as blocked. */
-const FLUSH_LIMIT_MS = 200;
+const FLUSH_LIMIT_MS = 400;
 
 /** Lines beyond this are dropped, so that a slow reader cannot grow memory. */
 const MAXIMUM_BUFFERED_BYTES = 256 * 1024;
@@ -40,16 +40,15 @@
 
   /**
    * Writes the buffered lines before the process exits. Resolves with whether
-   * the reader has taken them in time. If it has not, a thread waits for it, for
+   * they are written, or will be. Otherwise a thread waits for their reader, for
    * which `process.exit` waits in turn.
    */
   flush(): Promise<boolean> {
     return new Promise(resolve => {
-      // A write that ended while this process stood still is reported first.
-      const timer = setTimeout(
-        () => setImmediate(() => resolve(false)),
-        FLUSH_LIMIT_MS,
-      );
+      // The end of the write may not have been read yet when the timer fires in
+      // a process without processor time.
+      const onLimit = () => setImmediate(() => resolve(this.isFile()));
+      const timer = setTimeout(onLimit, FLUSH_LIMIT_MS);
       this.onWritten = () => {
         clearTimeout(timer);
         resolve(true);
@@ -58,6 +57,15 @@
     });
   }
 
+  /** A write to a file does not wait for a reader. */
+  private isFile(): boolean {
+    try {
+      return fs.fstatSync(this.fileDescriptor).isFile();
+    } catch {
+      return false;
+    }
+  }
+
   private writeBuffered(): void {
     this.flushTimer = null;
     if (this.writeInProgress) return;
