--- a/ava.untrusted-clients.config.js
+++ b/ava.untrusted-clients.config.js
@@ -3,6 +3,7 @@
   // nothing else.
   files: [
     'platform/lib/test/untrusted-clients/untrusted-clients_test.js',
+    'platform/lib/test/untrusted-clients/stopping-daemon_test.js',
     'platform/lib/test/small-chunks_test.js',
     'packages/daemon/lib/test/untrusted-clients/untrusted-callers_test.js',
   ],
--- a/packages/daemon/src/test/untrusted-clients/untrusted-callers_test.ts
+++ b/packages/daemon/src/test/untrusted-clients/untrusted-callers_test.ts
@@ -3,20 +3,6 @@
 import * as clientRows from './client-rows.js';
 import * as daemonProcess from './daemon-process.js';
 
-/** Lower than on a host, so that few clients suffice. */
-const MEMORY_MB = 224;
-const HEAP_MB = 96;
-const CALLER_CONNECTIONS = 200;
-
-/** Those of callers, operators, peers, platform, backend server and files. */
-const MAXIMUM_DESCRIPTORS = 350;
-
-const NODE_FLAGS = [
-  '--single-threaded',
-  `--max-old-space-size=${HEAP_MB}`,
-  '--max-semi-space-size=2',
-];
-
 const LOAD_MS = 2_000;
 
 /**
@@ -25,12 +11,17 @@
  * on the speed of the machine.
  */
 for (const row of clientRows.CLIENT_ROWS) {
+  const limits = row.limits ?? clientRows.DEFAULT_ROW_LIMITS;
   test.serial(`camphorwharfd: ${row.name}`, async t => {
     const daemon = new daemonProcess.DaemonProcess();
     t.teardown(() => daemon.close());
     await daemon.start({
-      nodeFlags: NODE_FLAGS,
-      limits: [`caller_connections = ${CALLER_CONNECTIONS}`],
+      nodeFlags: [
+        '--single-threaded',
+        `--max-old-space-size=${limits.heapMb}`,
+        '--max-semi-space-size=2',
+      ],
+      limits: [`caller_connections = ${limits.callerConnections}`],
     });
     const usage = new standIns.ProcessUsage(daemon.pid);
     const {host, callerPort, operatorPort} = daemon;
@@ -47,7 +38,7 @@
     );
     t.false(daemon.hasEnded);
     t.true(answered);
-    t.true(residentMb <= MEMORY_MB);
-    t.true(descriptors <= MAXIMUM_DESCRIPTORS);
+    t.true(residentMb <= limits.memoryMb);
+    t.true(descriptors <= limits.maximumDescriptors);
   });
 }
--- a/packages/stand-ins/src/index.ts
+++ b/packages/stand-ins/src/index.ts
@@ -23,5 +23,12 @@
   sendAndClose,
   sendOnce,
   sendWithoutEnd,
+  sendWithPauses,
 } from './untrusted-clients.js';
+export {
+  bodyInTinyChunks,
+  shortestFields,
+  shortFields,
+  tinyFields,
+} from './untrusted-requests.js';
 export type {ClientBehaviour, ClientEndpoint} from './untrusted-clients.js';
--- a/packages/stand-ins/src/untrusted-clients.ts
+++ b/packages/stand-ins/src/untrusted-clients.ts
@@ -15,6 +15,9 @@
 /** Time after which a closed connection is replaced. */
 const RECONNECT_MS = 20;
 
+/** Pause of a client that writes slowly. */
+const WRITE_INTERVAL_MS = 20;
+
 const SLOW_READ_BYTES = 512;
 const SLOW_READ_INTERVAL_MS = 200;
 
@@ -32,6 +35,18 @@
   };
 }
 
+/** Sends `text` again and again, with a pause after each, and reads nothing. */
+export function sendWithPauses(text: string, first = ''): ClientBehaviour {
+  return socket => {
+    socket.write(first, 'latin1');
+    const timer = setInterval(
+      () => socket.write(text, 'latin1'),
+      WRITE_INTERVAL_MS,
+    );
+    return () => clearInterval(timer);
+  };
+}
+
 /** Sends `text` once and reads nothing. */
 export function sendOnce(text: string): ClientBehaviour {
   return socket => void socket.write(text, 'latin1');
