--- a/packages/host-daemon/src/caller-connection.ts
+++ b/packages/host-daemon/src/caller-connection.ts
@@ -3,6 +3,7 @@
 import * as runtime from '@camphorwharf/runtime';
 import * as transport from '@camphorwharf/transport';
 import type * as clientMemory from './client-memory.js';
+import * as exchangeQueue from './exchange-queue.js';
 import * as unsentResponses from './unsent-responses.js';
 
 /**
@@ -18,28 +19,7 @@
  */
 const MAXIMUM_UNANSWERED_REQUESTS = 32;
 
-/** One request on a connection, from its arrival to the end of its response. */
-export interface Exchange {
-  readonly request: http.IncomingMessage;
-  readonly response: http.ServerResponse;
-  readonly isFirstOnConnection: boolean;
-  /** Aborted when the client disconnects before the response is complete. */
-  readonly cancel: runtime.CancelSource;
-  /** Memory of the parsed request. */
-  readonly requestBytes: number;
-  /** Whether all earlier requests of the connection have been answered. */
-  isNext: boolean;
-  /** Memory of its response while it has not been sent. */
-  responseBytes: number;
-  /** Whether the head of its response has been written. */
-  isResponding: boolean;
-}
-
-interface Waiter {
-  readonly exchange: Exchange;
-  readonly isReady: (position: number) => boolean;
-  readonly resolve: () => void;
-}
+export type Exchange = exchangeQueue.Exchange;
 
 /**
  * The requests of one client connection. A client may send further requests
@@ -49,8 +29,7 @@
  */
 export class CallerConnection {
   /** Requests without a complete response, in the order of their arrival. */
-  private readonly unanswered: Exchange[] = [];
-  private waiters: Waiter[] = [];
+  private readonly unanswered = new exchangeQueue.ExchangeQueue();
   private requestCount = 0;
   private isClosing = false;
   private hasTooManyRequests = false;
@@ -74,7 +53,7 @@
 
   /** Number of requests without a complete response. */
   get size(): number {
-    return this.unanswered.length;
+    return this.unanswered.size;
   }
 
   /** Memory of the responses that have not been sent. */
@@ -109,13 +88,13 @@
       isFirstOnConnection: this.requestCount === 0,
       cancel: new runtime.CancelSource(),
       requestBytes,
-      isNext: this.unanswered.length === 0,
+      isNext: this.unanswered.size === 0,
       responseBytes: 0,
       isResponding: false,
     };
     this.memory.addRequest(requestBytes);
     this.requestCount++;
-    this.unanswered.push(exchange);
+    this.unanswered.add(exchange);
     response.on('finish', () => this.complete(exchange));
     this.limitReading();
     return exchange;
@@ -123,7 +102,7 @@
 
   /** Resolves when the request may be processed, or is cancelled. */
   untilStartable(exchange: Exchange): Promise<void> | null {
-    return this.waitForPosition(
+    return this.unanswered.untilReady(
       exchange,
       position =>
         position < MAXIMUM_CONCURRENT_REQUESTS &&
@@ -141,7 +120,7 @@
       this.stopReading();
       return false;
     }
-    const last = this.unanswered.at(-1);
+    const last = this.unanswered.last;
     // Its response no longer tells the client that the connection closes.
     if (!last || last.isResponding) return true;
     const limit = this.memory.requestLimit(
@@ -178,12 +157,12 @@
    * cancelled. Returns null if there are none.
    */
   untilFirst(exchange: Exchange): Promise<void> | null {
-    return this.waitForPosition(exchange, position => position === 0);
+    return this.unanswered.untilReady(exchange, position => position === 0);
   }
 
   /** Whether no later request has been read from the connection. */
   isLast(exchange: Exchange): boolean {
-    return this.unanswered.at(-1) === exchange;
+    return this.unanswered.last === exchange;
   }
 
   /**
@@ -208,7 +187,7 @@
    * to be answered before the connection closes.
    */
   handleMalformedInput(): boolean {
-    const last = this.unanswered.at(-1);
+    const last = this.unanswered.last;
     // The malformed input belongs to the body of the last request.
     if (last && !last.request.complete) {
       last.cancel.abort();
@@ -218,17 +197,6 @@
     return this.size > 0;
   }
 
-  private waitForPosition(
-    exchange: Exchange,
-    isReady: Waiter['isReady'],
-  ): Promise<void> | null {
-    if (exchange.cancel.aborted) return null;
-    if (isReady(this.unanswered.indexOf(exchange))) return null;
-    return new Promise(resolve => {
-      this.waiters.push({exchange, isReady, resolve});
-    });
-  }
-
   private complete(exchange: Exchange): void {
     this.remove(exchange);
     if (this.isClosing && this.size === 0) this.closeSocket();
@@ -259,41 +227,28 @@
   }
 
   private remove(exchange: Exchange): void {
-    const position = this.unanswered.indexOf(exchange);
+    const position = this.unanswered.remove(exchange);
     if (position < 0) return;
-    if (position === 0) this.unanswered.shift();
-    else this.unanswered.splice(position, 1);
     this.forget(exchange);
     if (position === 0) this.markNext();
-    this.wakeWaiters();
+    this.unanswered.wakeWaiters();
   }
 
   private markNext(): void {
-    const next = this.unanswered.at(0);
+    const next = this.unanswered.first;
     if (!next) return;
     next.isNext = true;
     this.unsent.unblock(next.responseBytes);
   }
 
-  private wakeWaiters(): void {
-    if (this.waiters.length === 0) return;
-    const ready = this.waiters.filter(
-      ({exchange, isReady}) =>
-        exchange.cancel.aborted || isReady(this.unanswered.indexOf(exchange)),
-    );
-    if (ready.length === 0) return;
-    this.waiters = this.waiters.filter(waiter => !ready.includes(waiter));
-    for (const {resolve} of ready) resolve();
-  }
-
   private cancelAll(): void {
-    const cancelled = this.unanswered.splice(0);
+    const cancelled = this.unanswered.clear();
     this.isClosing = true;
     for (const exchange of cancelled) {
       exchange.cancel.abort();
       this.forget(exchange);
     }
-    this.wakeWaiters();
+    this.unanswered.wakeWaiters();
   }
 
   private forget(exchange: Exchange): void {
