Buffer bodies that wait behind unanswered requests

What callers saw: a daemon ended, and with it all requests that it carried, when 40 clients sent eight requests that are answered late and, behind them, an upload in chunks of one byte.

Cause: nobody read the body until its request started, so Node.js kept an object for each chunk, up to 16 KiB of payload: megabytes for a connection for which 64 KiB were counted.

Change: a body is received by RequestBodyReader from the arrival of a request that waits; at 64 KiB reading pauses until the request starts.

--- a/packages/host-daemon/src/caller-connection.ts
+++ b/packages/host-daemon/src/caller-connection.ts
@@ -88,6 +88,7 @@
       isFirstOnConnection: this.requestCount === 0,
       cancel: new runtime.CancelSource(),
       requestBytes,
+      body: null,
       isNext: this.unanswered.size === 0,
       responseBytes: 0,
       isResponding: false,
--- a/packages/host-daemon/src/caller-http-server.ts
+++ b/packages/host-daemon/src/caller-http-server.ts
@@ -149,14 +149,16 @@
     );
     this.connections.set(socket, connection);
     socket.on('close', () => this.connections.delete(socket));
-    transport.limitParsing(socket, () => {
-      const wasClosing = connection.closing;
-      const mayParse = connection.mayParse(this.limits.pipelinedRequests);
-      if (!mayParse && !wasClosing) {
-        this.guard.record('tooManyRequests', socket);
-      }
-      return mayParse;
-    });
+    transport.limitParsing(socket, () => this.mayParse(connection));
+  }
+
+  private mayParse(connection: callerConnection.CallerConnection): boolean {
+    const wasClosing = connection.closing;
+    const mayParse = connection.mayParse(this.limits.pipelinedRequests);
+    if (!mayParse && !wasClosing) {
+      this.guard.record('tooManyRequests', connection.socket);
+    }
+    return mayParse;
   }
 
   private async handleRequest(
@@ -169,19 +171,20 @@
     // The client repeats a request that was sent behind a response that closes
     // the connection, so it is not begun here.
     if (this.draining && connection.size > 0) connection.closeAfterLast();
-    const headerBytes = headerSize(request.rawHeaders);
+    const headerBytes = clientMemory.headerSize(request.rawHeaders);
     const exchange = connection.add(
       request,
       response,
-      headerBytes + requestSize(request, connection.size > 0),
+      clientMemory.requestSize(request, headerBytes, connection.size > 0),
     );
     if (!exchange) return;
-    await connection.untilStartable(exchange);
+    const reply = await this.process(
+      connection,
+      exchange,
+      headerBytes,
+      arrivedMs,
+    );
     if (exchange.cancel.aborted) return;
-    const reply =
-      headerBytes > this.maximumHeaderBytes
-        ? callerMessages.adviceResponse(431, 'Send fewer or shorter headers.')
-        : await this.reply(connection, exchange, arrivedMs);
     if (reply) connection.holdResponse(exchange, reply.body.length);
     await connection.untilFirst(exchange);
     if (exchange.cancel.aborted) return;
@@ -189,14 +192,55 @@
     else request.socket.resetAndDestroy();
   }
 
+  /** Returns null to reset the connection. */
+  private async process(
+    connection: callerConnection.CallerConnection,
+    exchange: callerConnection.Exchange,
+    headerBytes: number,
+    arrivedMs: number,
+  ): Promise<callerMessages.CallerResponse | null> {
+    const {request, isNext, cancel} = exchange;
+    if (requestBody.hasBody(request)) {
+      exchange.body = new requestBody.RequestBodyReader(
+        request,
+        connection,
+        this.options.bodyMemory,
+        this.readPacer,
+      );
+    }
+    try {
+      if (!isNext) exchange.body?.start();
+      await connection.untilStartable(exchange);
+      if (cancel.aborted) return null;
+      return (
+        this.findRefusal(headerBytes) ??
+        (await this.reply(connection, exchange, arrivedMs))
+      );
+    } finally {
+      exchange.body?.release();
+    }
+  }
+
+  /** Returns the response to a request that is refused without its body. */
+  private findRefusal(
+    headerBytes: number,
+  ): callerMessages.CallerResponse | null {
+    if (headerBytes > this.maximumHeaderBytes) {
+      return callerMessages.adviceResponse(
+        431,
+        'Send fewer or shorter headers.',
+      );
+    }
+    return null;
+  }
+
   /** Returns null to reset the connection. */
   private async reply(
     connection: callerConnection.CallerConnection,
     exchange: callerConnection.Exchange,
     arrivedMs: number,
   ): Promise<callerMessages.CallerResponse | null> {
-    const {request, isFirstOnConnection, cancel} = exchange;
-    let bodyReader: requestBody.RequestBodyReader | null = null;
+    const {request, isFirstOnConnection, cancel, body} = exchange;
     try {
       return await this.options.handler({
         method: request.method ?? 'GET',
@@ -210,27 +254,15 @@
         untilEarlierAnswered: async () => {
           await connection.untilFirst(exchange);
         },
-        readBody: maximumBytes => {
-          if (!requestBody.hasBody(request)) {
-            return Promise.resolve({kind: 'body', body: null});
-          }
-          bodyReader = new requestBody.RequestBodyReader(
-            request,
-            connection,
-            this.options.bodyMemory,
-            this.readPacer,
-            maximumBytes,
-          );
-          return bodyReader.read();
-        },
+        readBody: maximumBytes =>
+          body?.read(maximumBytes) ??
+          Promise.resolve({kind: 'body', body: null}),
       });
     } catch (error) {
       this.options.logger.error('caller-request-failed', {
         error: error instanceof Error ? error.message : String(error),
       });
       return null;
-    } finally {
-      (bodyReader as requestBody.RequestBodyReader | null)?.release();
     }
   }
 
@@ -257,24 +289,3 @@
     responseBody.sendBody(response, reply.body);
   }
 }
-
-/** Memory of a request without its header section. */
-function requestSize(
-  request: http.IncomingMessage,
-  isBehindOthers: boolean,
-): number {
-  if (!isBehindOthers || !requestBody.hasBody(request)) {
-    return clientMemory.REQUEST_BYTES;
-  }
-  const length = request.headers['content-length'];
-  return (
-    clientMemory.REQUEST_BYTES +
-    clientMemory.unreadBodyBytes(length === undefined ? null : Number(length))
-  );
-}
-
-function headerSize(rawHeaders: readonly string[]): number {
-  let bytes = 0;
-  for (const text of rawHeaders) bytes += text.length + 2;
-  return bytes;
-}
--- a/packages/host-daemon/src/client-memory.ts
+++ b/packages/host-daemon/src/client-memory.ts
@@ -1,4 +1,6 @@
+import type * as http from 'node:http';
 import * as transport from '@camphorwharf/transport';
+import * as requestBody from './request-body.js';
 
 /** Parsed requests of all clients, as a part of the process's memory. */
 const REQUEST_RATIO = 0.1;
@@ -19,9 +21,33 @@
  */
 export const REQUEST_BYTES = 8 * 1024;
 
-/** What Node.js buffers of a body that nobody reads yet, at most. */
+/** What is buffered of a body that nobody reads yet, at most. */
 const UNREAD_BODY_BYTES = 64 * 1024;
 
+/** Length of a header section without its request line. */
+export function headerSize(rawHeaders: readonly string[]): number {
+  let bytes = 0;
+  for (const text of rawHeaders) bytes += text.length + 2;
+  return bytes;
+}
+
+/** Memory of a parsed request with its header section of `headerBytes`. */
+export function requestSize(
+  request: http.IncomingMessage,
+  headerBytes: number,
+  isBehindOthers: boolean,
+): number {
+  const bodyBytes = isBehindOthers ? waitingBodyBytes(request) : 0;
+  return REQUEST_BYTES + headerBytes + bodyBytes;
+}
+
+/** Memory of the body of a request that waits for earlier ones. */
+function waitingBodyBytes(request: http.IncomingMessage): number {
+  if (!requestBody.hasBody(request)) return 0;
+  const length = request.headers['content-length'];
+  return unreadBodyBytes(length === undefined ? null : Number(length));
+}
+
 /** Memory of a body behind an unanswered request, of null: unknown length. */
 export function unreadBodyBytes(contentLength: number | null): number {
   return Math.min(contentLength ?? UNREAD_BODY_BYTES, UNREAD_BODY_BYTES);
--- a/packages/host-daemon/src/exchange-queue.ts
+++ b/packages/host-daemon/src/exchange-queue.ts
@@ -1,5 +1,6 @@
 import type * as http from 'node:http';
 import type * as runtime from '@camphorwharf/runtime';
+import type * as requestBody from './request-body.js';
 
 /** One request on a connection, from its arrival to the end of its response. */
 export interface Exchange {
@@ -10,6 +11,8 @@
   readonly cancel: runtime.CancelSource;
   /** Memory of the parsed request. */
   readonly requestBytes: number;
+  /** Null if the request has no body. */
+  body: requestBody.RequestBodyReader | null;
   /** Whether all earlier requests of the connection have been answered. */
   isNext: boolean;
   /** Memory of its response while it has not been sent. */
--- a/packages/host-daemon/src/request-body.ts
+++ b/packages/host-daemon/src/request-body.ts
@@ -6,7 +6,7 @@
 /** Bodies up to this size are buffered so that they can be sent again. */
 const MAXIMUM_BUFFERED_BYTES = 1024 * 1024;
 
-/** Reading pauses while a streamed body has more unread bytes. */
+/** Reading pauses while a body that is streamed or waits has more bytes. */
 const HIGH_WATER_MARK_BYTES = 64 * 1024;
 
 /** Chunks after which other connections are read first. */
@@ -51,8 +51,12 @@
   private readonly bodyReservation: transport.MemoryReservation;
   private readonly bytesReadBefore: number;
   private receivedBytes = 0;
+  private maximumBytes = Infinity;
   /** Chunks received since reading was last continued by the pacer. */
   private turnChunks = 0;
+  private isStarted = false;
+  /** Whether `read` has been called. */
+  private isRequested = false;
   private isStreaming = false;
   private isPaced = false;
   private isHolding = false;
@@ -65,7 +69,6 @@
     private readonly reading: ReadControl,
     memory: transport.BodyMemory,
     private readonly pacer: readPacer.ReadPacer,
-    private readonly maximumBytes: number,
   ) {
     this.buffer = new transport.BodyBuffer(
       memory.open(() => this.fail({kind: 'outOfMemory'})),
@@ -74,15 +77,33 @@
     this.bytesReadBefore = request.socket.bytesRead;
   }
 
-  /** Resolves when the body is complete, has become a stream, or has failed. */
-  async read(): Promise<BodyResult> {
+  /**
+   * Begins to buffer the body, of which 64 KiB may arrive before `read`. A body
+   * that nobody reads would be kept by Node.js with an object for each chunk.
+   */
+  start(): void {
+    if (this.isStarted) return;
+    this.isStarted = true;
     const {request} = this;
-    const declaredBytes = Number(request.headers['content-length'] ?? 0);
-    this.isStreaming = declaredBytes > MAXIMUM_BUFFERED_BYTES;
     request.on('data', (chunk: Buffer) => this.receive(chunk));
     request.on('end', () => this.finish('complete'));
     request.on('error', () => this.fail({kind: 'aborted'}));
     request.on('close', () => this.fail({kind: 'aborted'}));
+  }
+
+  /**
+   * Resolves when the body is complete, has become a stream, or has failed. A
+   * body of more than `maximumBytes` fails.
+   */
+  async read(maximumBytes: number): Promise<BodyResult> {
+    const {request} = this;
+    const declaredBytes = Number(request.headers['content-length'] ?? 0);
+    this.isRequested = true;
+    this.maximumBytes = maximumBytes;
+    this.isStreaming = declaredBytes > MAXIMUM_BUFFERED_BYTES;
+    this.start();
+    if (this.receivedBytes > maximumBytes) this.fail({kind: 'tooLong'});
+    this.updateReading();
     while (!this.isStreaming && this.end === null) await this.untilChanged();
     if (this.end !== null && this.end !== 'complete') return this.end;
     if (this.isStreaming) return {kind: 'body', body: this.stream()};
@@ -110,7 +131,7 @@
       this.fail({kind: 'tinyChunks'});
     } else if (!this.buffer.append(chunk)) {
       this.fail({kind: 'outOfMemory'});
-    } else if (!this.isStreaming) {
+    } else if (this.isRequested && !this.isStreaming) {
       if (this.buffer.length <= MAXIMUM_BUFFERED_BYTES) return;
       this.isStreaming = true;
     }
@@ -177,8 +198,8 @@
   }
 
   private get mustHold(): boolean {
-    const isFull =
-      this.isStreaming && this.buffer.length > HIGH_WATER_MARK_BYTES;
+    const isBounded = this.isStreaming || !this.isRequested;
+    const isFull = isBounded && this.buffer.length > HIGH_WATER_MARK_BYTES;
     return this.isPaced || isFull;
   }
 
