Bound the memory of headers and trailers that are not ended

What callers saw: a daemon ended, out of memory, when clients sent trailers behind a chunked body without an end, or header sections, in small writes with pauses or up to just below the limit of the parser. Fewer connections than the limit sufficed.

Cause: the parser of Node.js holds the fields of an unfinished section, about 90 KB for 58 KB sent (a program with 100 connections, x86-64), and no account knew them.

Change: after each read the section that a connection has begun is estimated from the bytes read behind the last message or payload and from the number of fields held, and counted in an account of 5% of the memory. At its limit the connection that holds the most is reset, and its section freed at once: several hundred connections may be read before the first of them has closed. The parser now gets the configured limit plus 8 KiB for the request line, so that it ends a section while it is read. It no longer drops the fields beyond a thousand silently. Idle parsers, which keep the section that was read last, are limited to 64.

--- a/packages/host-daemon/src/caller-connection.ts
+++ b/packages/host-daemon/src/caller-connection.ts
@@ -4,6 +4,7 @@
 import * as transport from '@camphorwharf/transport';
 import type * as clientMemory from './client-memory.js';
 import * as exchangeQueue from './exchange-queue.js';
+import * as requestBody from './request-body.js';
 import * as unsentResponses from './unsent-responses.js';
 
 /**
@@ -61,6 +62,19 @@
     return this.unsent.bytes;
   }
 
+  /** Number of requests that have been processed or are being processed. */
+  get messages(): number {
+    return this.requestCount;
+  }
+
+  /** Payload that has arrived of a chunked body whose end has not arrived. */
+  get chunkedBytes(): number | null {
+    const {last} = this.unanswered;
+    if (!last || !requestBody.isChunked(last.request)) return null;
+    // Without a reader, Node.js buffers the first bytes and discards the rest.
+    return last.body?.receivedCount ?? last.request.readableLength;
+  }
+
   /** Whether no request has been read yet. */
   get isUnused(): boolean {
     return this.requestCount === 0;
--- a/packages/host-daemon/src/caller-http-server.ts
+++ b/packages/host-daemon/src/caller-http-server.ts
@@ -13,16 +13,17 @@
 import * as requestBody from './request-body.js';
 import * as responseBody from './response-body.js';
 
-/**
- * Limit of the HTTP parser; the configured limit is checked on the parsed
- * headers.
- */
-const MAXIMUM_PARSED_HEADER_BYTES = 64 * 1024;
-
 /** Used until a configuration is known. */
+const INITIAL_HEADER_BYTES = 64 * 1024;
 const INITIAL_HEADER_TIMEOUT_MS = 3_000;
 const INITIAL_IDLE_TIMEOUT_MS = 15_000;
 
+/**
+ * Length of a request line that the HTTP parser accepts beside the configured
+ * length of the header section, which is checked on the parsed headers.
+ */
+const REQUEST_LINE_BYTES = 8 * 1024;
+
 const CONNECTION_CHECK_INTERVAL_MS = 500;
 
 /** Used if the options name no memory. */
@@ -62,7 +63,7 @@
   private readonly memory: clientMemory.ClientMemory;
   private readonly limits: clientLimits.ClientLimits;
   private readonly guard: clientGuard.ClientGuard;
-  private maximumHeaderBytes = MAXIMUM_PARSED_HEADER_BYTES;
+  private maximumHeaderBytes = INITIAL_HEADER_BYTES;
 
   constructor(private readonly options: CallerHttpServerOptions) {
     this.memory =
@@ -77,7 +78,7 @@
     });
     this.server = http.createServer(
       {
-        maxHeaderSize: MAXIMUM_PARSED_HEADER_BYTES,
+        maxHeaderSize: INITIAL_HEADER_BYTES + REQUEST_LINE_BYTES,
         headersTimeout: INITIAL_HEADER_TIMEOUT_MS,
         requestTimeout: 0,
         keepAliveTimeout: INITIAL_IDLE_TIMEOUT_MS,
@@ -86,6 +87,9 @@
       },
       (request, response) => void this.handleRequest(request, response),
     );
+    // No limit: Node.js would silently drop the fields beyond it.
+    this.server.maxHeadersCount = 0;
+    transport.limitIdleParsers();
     this.server.on('connection', (socket: net.Socket) =>
       this.addConnection(socket),
     );
@@ -125,6 +129,9 @@
 
   applyLimits(limits: routing.ClientLimits): void {
     this.maximumHeaderBytes = limits.maximumHeaderBytes;
+    // Applies to connections that are opened from now on.
+    const server = this.server as {maxHeaderSize?: number};
+    server.maxHeaderSize = limits.maximumHeaderBytes + REQUEST_LINE_BYTES;
     this.server.headersTimeout = limits.headerTimeoutMs;
     this.server.keepAliveTimeout = limits.idleTimeoutMs;
   }
@@ -150,6 +157,9 @@
     this.connections.set(socket, connection);
     socket.on('close', () => this.connections.delete(socket));
     transport.limitParsing(socket, () => this.mayParse(connection));
+    transport.observeSections(socket, this.memory.sections, connection, () =>
+      this.guard.record('unfinishedSection', socket),
+    );
   }
 
   private mayParse(connection: callerConnection.CallerConnection): boolean {
--- a/packages/host-daemon/src/client-guard.ts
+++ b/packages/host-daemon/src/client-guard.ts
@@ -22,6 +22,8 @@
   | 'tooManyRequests'
   /** It held the most while the memory for responses was full. */
   | 'memoryFull'
+  /** It held the most of the headers and trailers that have not been ended. */
+  | 'unfinishedSection'
   /** Its client has read nothing for too long. */
   | 'unread';
 
--- a/packages/host-daemon/src/client-memory.ts
+++ b/packages/host-daemon/src/client-memory.ts
@@ -12,6 +12,9 @@
  */
 const REQUEST_STOP_FACTOR = 2;
 
+/** Sections that clients have begun and not ended, as a part of the memory. */
+const SECTION_RATIO = 0.05;
+
 /** Unsent responses of all clients, as a part of the process's memory. */
 const RESPONSE_RATIO = 0.12;
 
@@ -55,11 +58,12 @@
 
 /**
  * The account of what the connections of all clients cost this process: parsed
- * and waiting requests, and responses that wait for their turn or for the
- * client to read them.
+ * and waiting requests, sections that have not been ended, and responses that
+ * wait for their turn or for the client to read them.
  */
 export class ClientMemory {
   readonly responses: transport.ResponseMemory;
+  readonly sections: transport.SectionMemory;
   private requestBytes = 0;
   private readonly maximumRequestBytes: number;
 
@@ -68,6 +72,9 @@
     this.responses = new transport.ResponseMemory(
       Math.floor(memoryBytes * RESPONSE_RATIO),
     );
+    this.sections = new transport.SectionMemory(
+      Math.floor(memoryBytes * SECTION_RATIO),
+    );
   }
 
   /** Whether connections with unanswered requests are not read any more. */
--- a/packages/host-daemon/src/request-body.ts
+++ b/packages/host-daemon/src/request-body.ts
@@ -22,6 +22,11 @@
   );
 }
 
+/** Whether the body of a request is sent in chunks. */
+export function isChunked({headers}: http.IncomingMessage): boolean {
+  return headers['transfer-encoding'] !== undefined;
+}
+
 /** Why a body is not read to its end. */
 export type BodyFailure =
   | {readonly kind: 'aborted'}
@@ -77,6 +82,11 @@
     this.bytesReadBefore = request.socket.bytesRead;
   }
 
+  /** Payload that has arrived, without what is discarded. */
+  get receivedCount(): number {
+    return this.receivedBytes;
+  }
+
   /**
    * Begins to buffer the body, of which 64 KiB may arrive before `read`. A body
    * that nobody reads would be kept by Node.js with an object for each chunk.
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -59,4 +59,10 @@
 export type {ConnectionUse} from './server-connection.js';
 export {containsStatusLine} from './response-head.js';
 export {LingeringClose} from './lingering-close.js';
-export {limitParsing} from './parser-limit.js';
+export {limitIdleParsers, limitParsing} from './parser-limit.js';
+export {SectionMemory} from './section-memory.js';
+export type {SectionHolder} from './section-memory.js';
+export {observeSections} from './section-observer.js';
+export type {MessageCounter} from './section-observer.js';
+export {UnfinishedSection} from './unfinished-section.js';
+export type {ConnectionReading} from './unfinished-section.js';
--- a/packages/transport/src/parser-limit.ts
+++ b/packages/transport/src/parser-limit.ts
@@ -1,3 +1,4 @@
+import * as http from 'node:http';
 import type * as net from 'node:net';
 
 /** The part of the HTTP parser of Node.js that receives requests. */
@@ -5,6 +6,9 @@
   onIncoming: ((request: unknown, keepAlive: boolean) => number) | null;
 }
 
+/** An idle parser keeps the memory of the last section that was not ended. */
+const MAXIMUM_IDLE_PARSERS = 64;
+
 /** Tells the parser of Node.js that what follows is another protocol. */
 const STOP_PARSING = 2;
 
@@ -28,3 +32,8 @@
       : STOP_PARSING;
   };
 }
+
+/** Bounds the memory that Node.js keeps for parsers of later connections. */
+export function limitIdleParsers(): void {
+  http.setMaxIdleHTTPParsers(MAXIMUM_IDLE_PARSERS);
+}
