Bound unfinished headers and trailers in packages/daemon

All fields were kept, although a request with more than 100 is refused.

Change: the parser keeps 101 fields, with which the request is refused as before, and unfinished sections share limits.unfinished_section_mb (16 MB by default).

--- a/packages/daemon/src/settings.ts
+++ b/packages/daemon/src/settings.ts
@@ -42,6 +42,7 @@
       unanswered_requests: zod.int().min(100).max(1_000_000).default(16_384),
       unread_response_mb: zod.int().min(1).max(1_024).default(32),
       unread_seconds: zod.number().min(1).max(600).default(60),
+      unfinished_section_mb: zod.int().min(1).max(1_024).default(16),
       drain_seconds: zod.number().min(1).max(600).default(30),
     })
     .prefault({}),
@@ -60,6 +61,7 @@
     unansweredRequests: limits.unanswered_requests,
     unreadBytes: limits.unread_response_mb * 1024 * 1024,
     unreadMs: limits.unread_seconds * 1_000,
+    sectionBytes: limits.unfinished_section_mb * 1024 * 1024,
   };
 }
 
--- a/packages/daemon/src/test/settings_test.ts
+++ b/packages/daemon/src/test/settings_test.ts
@@ -55,6 +55,7 @@
       unanswered_requests: 16_384,
       unread_response_mb: 32,
       unread_seconds: 60,
+      unfinished_section_mb: 16,
       drain_seconds: 30,
     },
   });
@@ -69,6 +70,8 @@
   ['unread_response_mb', 1_025, 'lower'],
   ['unread_seconds', 0.5, 'raise'],
   ['unread_seconds', 601, 'lower'],
+  ['unfinished_section_mb', 0, 'raise'],
+  ['unfinished_section_mb', 1_025, 'lower'],
 ] as const) {
   test(`settings: refuses limits.${name} = ${value}`, t => {
     // Guards against a limit that refuses ordinary callers or bounds nothing.
--- a/packages/daemon/src/test/untrusted-clients/client-rows.ts
+++ b/packages/daemon/src/test/untrusted-clients/client-rows.ts
@@ -42,6 +42,12 @@
 };
 const SECTION_CONNECTIONS = 590;
 
+/**
+ * Fields of a section that is not ended, as many as the HTTP parser accepts,
+ * whose limit is 17 KiB.
+ */
+const UNFINISHED_FIELDS = standIns.tinyFields(4_200);
+
 const HEADER_START = 'GET /parts/public/1 HTTP/1.1\r\nHost: shop.example\r\n';
 const BARE_REQUEST = 'GET / HTTP/1.1\r\nHost: shop.example\r\n\r\n';
 const METRICS_REQUEST = 'GET /metrics HTTP/1.1\r\nHost: a\r\n\r\n';
@@ -141,6 +147,20 @@
     connections: 40,
     behaviour: standIns.sendAndClose(SHORT_REQUEST),
   },
+  {
+    name: 'header sections of many short fields that stop before their end',
+    port: 'callers',
+    connections: SECTION_CONNECTIONS,
+    behaviour: standIns.sendOnce(HEADER_START + UNFINISHED_FIELDS),
+    limits: SECTION_LIMITS,
+  },
+  {
+    name: 'trailers of many short fields that stop before their end',
+    port: 'callers',
+    connections: SECTION_CONNECTIONS,
+    behaviour: standIns.sendOnce(TRAILER_START + UNFINISHED_FIELDS),
+    limits: SECTION_LIMITS,
+  },
   {
     name: 'trailers without end in small writes with pauses',
     port: 'callers',
--- a/packages/transport/src/caller-call.ts
+++ b/packages/transport/src/caller-call.ts
@@ -64,6 +64,9 @@
   readonly contentLength: number | null;
   readonly body: AsyncIterable<Uint8Array> | null;
   private readonly controller = new AbortController();
+  private readonly isChunked: boolean;
+  /** Payload of the body that has been read. */
+  private consumedBytes = 0;
 
   constructor(
     private readonly request: http.IncomingMessage,
@@ -74,12 +77,10 @@
     this.method = request.method ?? 'GET';
     this.path = request.url ?? '/';
     this.contentLength = httpHeaders.declaredLength(headers);
-    const chunked =
+    this.isChunked =
       httpHeaders.headerValue(headers, 'transfer-encoding') !== null;
     this.body =
-      chunked || (this.contentLength ?? 0) > 0
-        ? readBody(request, this.contentLength)
-        : null;
+      this.isChunked || (this.contentLength ?? 0) > 0 ? this.readBody() : null;
     response.on('close', () => {
       if (!response.writableFinished) {
         this.controller.abort(
@@ -93,6 +94,13 @@
     return this.controller.signal;
   }
 
+  /** Payload that has arrived of a chunked body whose end has not arrived. */
+  get chunkedBytes(): number | null {
+    const {request} = this;
+    if (!this.isChunked || request.complete) return null;
+    return this.consumedBytes + request.readableLength;
+  }
+
   get headersSent(): boolean {
     return this.response.headersSent || this.response.destroyed;
   }
@@ -191,6 +199,24 @@
     await this.untilFinished();
   }
 
+  private async *readBody(): AsyncGenerator<Uint8Array, void, void> {
+    const {request, contentLength} = this;
+    try {
+      for await (const chunk of request.iterator({destroyOnReturn: false})) {
+        this.consumedBytes += (chunk as Uint8Array).length;
+        yield chunk as Uint8Array;
+      }
+    } catch (cause) {
+      throw new runtime.ConnectionError(
+        'The caller disconnected before the end of its body.',
+        {cause},
+      );
+    }
+    if (contentLength !== null && this.consumedBytes !== contentLength) {
+      throw bodyLengthError(this.consumedBytes, contentLength);
+    }
+  }
+
   private toRawHeaders(headers: protocol.HeaderList): string[] {
     const rawHeaders: string[] = [];
     for (const [name, value] of httpHeaders.removeHopByHopHeaders(headers)) {
@@ -239,27 +265,6 @@
   }
 }
 
-async function* readBody(
-  request: http.IncomingMessage,
-  contentLength: number | null,
-): AsyncGenerator<Uint8Array, void, void> {
-  let bytes = 0;
-  try {
-    for await (const chunk of request.iterator({destroyOnReturn: false})) {
-      bytes += (chunk as Uint8Array).length;
-      yield chunk as Uint8Array;
-    }
-  } catch (cause) {
-    throw new runtime.ConnectionError(
-      'The caller disconnected before the end of its body.',
-      {cause},
-    );
-  }
-  if (contentLength !== null && bytes !== contentLength) {
-    throw bodyLengthError(bytes, contentLength);
-  }
-}
-
 function bodyLengthError(bytes: number, declared: number | null): Error {
   return new runtime.ProtocolError(
     `Body has ${bytes} bytes where ${declared ?? 0} were declared. Treat the ` +
--- a/packages/transport/src/caller-connection.ts
+++ b/packages/transport/src/caller-connection.ts
@@ -8,11 +8,19 @@
  */
 const MAXIMUM_CONCURRENT_REQUESTS = 8;
 
+/** Reports how much of the body of a request has arrived. */
+export interface BodyProgress {
+  /** Null if the body is not chunked or has arrived as a whole. */
+  readonly chunkedBytes: number | null;
+}
+
 /** The requests of one connection of a caller, in the order of their arrival. */
 export class CallerConnection {
   private readonly unanswered: http.ServerResponse[] = [];
   private waiters: Array<{response: http.ServerResponse; start(): void}> = [];
   private requestCount = 0;
+  /** Of the last request. */
+  private lastBody: BodyProgress | null = null;
   /** Null while requests are read. */
   private lingering: lingeringClose.LingeringClose | null = null;
   /** Bytes passed to the kernel at the last check, and checks since then. */
@@ -26,6 +34,16 @@
     return this.unanswered.length;
   }
 
+  /** Number of requests that have been read. */
+  get messages(): number {
+    return this.requestCount;
+  }
+
+  /** Payload that has arrived of a chunked body whose end has not arrived. */
+  get chunkedBytes(): number | null {
+    return this.lastBody?.chunkedBytes ?? null;
+  }
+
   /** Whether no request has been read yet. */
   get isUnused(): boolean {
     return this.requestCount === 0;
@@ -46,8 +64,9 @@
     return bytes;
   }
 
-  add(response: http.ServerResponse): void {
+  add(response: http.ServerResponse, body: BodyProgress): void {
     this.requestCount++;
+    this.lastBody = body;
     this.unanswered.push(response);
   }
 
--- a/packages/transport/src/caller-guard.ts
+++ b/packages/transport/src/caller-guard.ts
@@ -1,7 +1,10 @@
 import * as runtime from '@camphorwharf/runtime';
+import type * as http from 'node:http';
 import type * as net from 'node:net';
 import * as callerConnection from './caller-connection.js';
 import * as parserLimit from './parser-limit.js';
+import * as sectionMemory from './section-memory.js';
+import * as sectionObserver from './section-observer.js';
 
 const CHECK_INTERVAL_MS = 250;
 
@@ -20,6 +23,8 @@
   readonly unansweredRequests: number;
   /** Bytes of unread responses of all connections. */
   readonly unreadBytes: number;
+  /** Bytes of headers and trailers that callers have begun and not ended. */
+  readonly sectionBytes: number;
   /** Time after which a client that reads nothing loses its connection. */
   readonly unreadMs: number;
 }
@@ -32,6 +37,7 @@
   // About 64 MB of parsed requests.
   unansweredRequests: 16_384,
   unreadBytes: 32 * 1024 * 1024,
+  sectionBytes: 16 * 1024 * 1024,
   unreadMs: 60_000,
 };
 
@@ -42,6 +48,8 @@
   | 'tooManyRequests'
   /** It held the most while unread responses were at their limit. */
   | 'memoryFull'
+  /** It held the most of the headers and trailers that have not been ended. */
+  | 'unfinishedSection'
   /** Its client has read nothing for too long. */
   | 'unread';
 
@@ -61,8 +69,11 @@
   private unansweredRequests = 0;
   private readonly log: runtime.BoundedLog;
   private timer: NodeJS.Timeout | null = null;
+  private readonly sections: sectionMemory.SectionMemory;
 
   constructor(private readonly options: CallerGuardOptions) {
+    const {sectionBytes} = options.limits;
+    this.sections = new sectionMemory.SectionMemory(sectionBytes);
     this.log = new runtime.BoundedLog(options.logger, options.clock);
   }
 
@@ -112,14 +123,18 @@
     const connection = this.connections.get(socket);
     if (!connection) return;
     parserLimit.limitParsing(socket, () => this.mayParse(connection));
+    sectionObserver.observeSections(socket, this.sections, connection, () =>
+      this.record('unfinishedSection', connection),
+    );
   }
 
   /** Counts a request until its response has been sent. */
   addRequest(
     connection: callerConnection.CallerConnection,
-    response: Parameters<callerConnection.CallerConnection['add']>[0],
+    response: http.ServerResponse,
+    body: callerConnection.BodyProgress,
   ): void {
-    connection.add(response);
+    connection.add(response, body);
     this.unansweredRequests++;
     response.on('finish', () => {
       const {size} = connection;
--- a/packages/transport/src/caller-server.ts
+++ b/packages/transport/src/caller-server.ts
@@ -5,6 +5,7 @@
 import * as callerCall from './caller-call.js';
 import * as callerGuard from './caller-guard.js';
 import * as httpHeaders from './http-headers.js';
+import * as parserLimit from './parser-limit.js';
 
 const DEFAULT_HEADERS_TIMEOUT_MS = 10_000;
 const DEFAULT_REQUEST_TIMEOUT_MS = 300_000;
@@ -68,13 +69,14 @@
       },
       (request, response) => void this.serve(request, response),
     );
-    // No limit: `findHeaderError` checks the number of headers, whereas Node.js
-    // would silently drop those beyond its limit.
-    this.server.maxHeadersCount = 0;
+    // Node.js drops the headers beyond this number, with which `findHeaderError`
+    // refuses the request.
+    this.server.maxHeadersCount = httpHeaders.MAXIMUM_HEADER_COUNT + 1;
     this.server.on('clientError', (error, socket) =>
       this.refuseMalformed(error, socket as net.Socket),
     );
     this.limitConnections();
+    parserLimit.limitIdleParsers();
   }
 
   get connectionCount(): number {
@@ -134,19 +136,19 @@
     const connection = this.guard.get(request.socket);
     // The connection has been closed to accept another one.
     if (!connection) return;
-    this.guard.addRequest(connection, response);
-    response.on('finish', () => {
-      // Also closes connections that become idle while the server stops.
-      if (!this.server.listening) {
-        setImmediate(() => this.server.closeIdleConnections());
-      }
-    });
     const call = new callerCall.HttpCallerCall(
       request,
       response,
       headers,
       () => this.stopping,
     );
+    this.guard.addRequest(connection, response, call);
+    response.on('finish', () => {
+      // Also closes connections that become idle while the server stops.
+      if (!this.server.listening) {
+        setImmediate(() => this.server.closeIdleConnections());
+      }
+    });
     try {
       const startable = connection.untilStartable(response);
       if (startable) await startable;
