Close connections that send bytes that are no requests

What callers saw: after a request to upgrade the connection, or after input that is not HTTP, a daemon read and dropped all further bytes for as long as the client sent them, which takes processor time from everybody else.

Cause: Node.js ends parsing behind such a request but goes on reading, and a refused connection stayed open until its client closed it.

Change: a request to upgrade is answered as an ordinary one and is the last of its connection; malformed input ends reading.

--- a/packages/host-daemon/src/caller-connection.ts
+++ b/packages/host-daemon/src/caller-connection.ts
@@ -143,8 +143,7 @@
       MAXIMUM_UNANSWERED_REQUESTS,
     );
     if (this.size < limit) return true;
-    this.isClosing = true;
-    this.stopReading();
+    this.endReading();
     return false;
   }
 
@@ -208,10 +207,26 @@
       last.cancel.abort();
       this.remove(last);
     }
-    this.isClosing = true;
+    this.endReading();
     return this.size > 0;
   }
 
+  /**
+   * Ends reading. The connection closes after the last response, which says so;
+   * what the client sends until then is discarded.
+   */
+  endReading(): void {
+    this.isClosing = true;
+    this.stopReading();
+  }
+
+  /** Writes `text` and closes the connection, on which nothing is unanswered. */
+  closeWith(text: string): void {
+    this.endReading();
+    this.socket.write(text, 'latin1');
+    this.closeSocket();
+  }
+
   private complete(exchange: Exchange): void {
     this.remove(exchange);
     if (this.isClosing && this.size === 0) this.closeSocket();
--- a/packages/host-daemon/src/caller-http-server.ts
+++ b/packages/host-daemon/src/caller-http-server.ts
@@ -156,7 +156,10 @@
     );
     this.connections.set(socket, connection);
     socket.on('close', () => this.connections.delete(socket));
-    transport.limitParsing(socket, () => this.mayParse(connection));
+    transport.limitParsing(socket, {
+      mayParse: () => this.mayParse(connection),
+      endParsing: () => connection.endReading(),
+    });
     transport.observeSections(socket, this.memory.sections, connection, () =>
       this.guard.record('unfinishedSection', socket),
     );
--- a/packages/host-daemon/src/malformed-input.ts
+++ b/packages/host-daemon/src/malformed-input.ts
@@ -13,7 +13,7 @@
   const {code} = error as NodeJS.ErrnoException;
   // The parser fails again on each further input.
   if (connection?.discardInput()) return;
-  if (code === 'ECONNRESET' || !socket.writable) {
+  if (!connection || code === 'ECONNRESET' || !socket.writable) {
     socket.destroy();
     return;
   }
@@ -28,14 +28,14 @@
       : code === 'ERR_HTTP_REQUEST_TIMEOUT'
         ? 408
         : 400;
-  const hadRequests = (connection?.size ?? 0) > 0;
-  if (connection?.handleMalformedInput()) return;
+  const hadRequests = connection.size > 0;
+  if (connection.handleMalformedInput()) return;
   // A response here would be taken for that of the request that was cut off.
   if (hadRequests) {
     socket.resetAndDestroy();
     return;
   }
-  socket.end(
+  connection.closeWith(
     `HTTP/1.1 ${status} ${http.STATUS_CODES[status]}\r\n` +
       'Content-Length: 0\r\nConnection: close\r\n\r\n',
   );
--- a/packages/host-daemon/src/status-server.ts
+++ b/packages/host-daemon/src/status-server.ts
@@ -102,14 +102,20 @@
     }
     connections.set(socket, null);
     socket.on('close', () => connections.delete(socket));
-    // One request at a time; the connection closes after the response before a
-    // further one.
-    transport.limitParsing(socket, () => {
+    const closeAfterResponse = () => {
       const response = connections.get(socket);
-      if (!response) return connections.has(socket);
-      response.shouldKeepAlive = false;
+      if (response) response.shouldKeepAlive = false;
       socket.pause();
-      return false;
+    };
+    // One request at a time; the connection closes after the response before a
+    // further one.
+    transport.limitParsing(socket, {
+      mayParse: () => {
+        if (!connections.get(socket)) return connections.has(socket);
+        closeAfterResponse();
+        return false;
+      },
+      endParsing: closeAfterResponse,
     });
   });
   server.on('clientError', (_error, socket) => socket.destroy());
--- a/packages/host-daemon/src/test/unusual-requests_test.ts
+++ b/packages/host-daemon/src/test/unusual-requests_test.ts
@@ -16,6 +16,9 @@
 
 const START = 'GET / HTTP/1.1\r\nHost: a.example\r\n';
 
+/** Pause between the writes of a client that goes on sending. */
+const WRITE_INTERVAL_MS = 5;
+
 /** The server of one test, with the requests that its handler has received. */
 async function startServer(
   t: {teardown(end: () => void): void},
@@ -61,6 +64,56 @@
   }
 }
 
+interface ClosingCase {
+  readonly name: string;
+  readonly text: string;
+  /** Sent again and again behind `text`. */
+  readonly rest: string;
+  readonly statuses: string;
+}
+
+/** Bytes that are no request close the connection (RFC 9112, section 9.2). */
+const CLOSING_CASES: readonly ClosingCase[] = [
+  {
+    name: 'behind a request to upgrade the connection',
+    text: `${START}Connection: Upgrade\r\nUpgrade: other\r\n\r\n`,
+    rest: 'x'.repeat(1_024),
+    statuses: '200',
+  },
+  {
+    name: 'in place of a request',
+    text: '\x00\x01\x02',
+    rest: '\x00',
+    statuses: '400',
+  },
+  {
+    name: 'behind a request',
+    text: `${START}\r\n\x00\x01\x02`,
+    rest: '\x00',
+    statuses: '200',
+  },
+];
+
+for (const {name, text, rest, statuses} of CLOSING_CASES) {
+  test(`bytes without end close the connection: ${name}`, async t => {
+    // Guards against a connection whose input is read and dropped for ever.
+    const server = await startServer(t, () =>
+      Promise.resolve(callerHttpServer.adviceResponse(200, 'done')),
+    );
+    const client = new Client(server.port, text);
+    const timer = setInterval(
+      () => client.socket.write(rest, 'latin1'),
+      WRITE_INTERVAL_MS,
+    );
+    t.teardown(() => {
+      clearInterval(timer);
+      client.socket.destroy();
+    });
+    await helpers.waitUntil(() => client.isClosed);
+    t.is(client.statuses, statuses);
+  });
+}
+
 function fields(count: number, value: string): string {
   let text = '';
   for (let index = 0; index < count; index++) {
--- a/packages/transport/src/caller-connection.ts
+++ b/packages/transport/src/caller-connection.ts
@@ -89,6 +89,7 @@
    * unless its head has been written.
    */
   closeAfterLast(): void {
+    if (this.lingering) return;
     const {socket} = this;
     const lingering = new lingeringClose.LingeringClose(socket);
     this.lingering = lingering;
@@ -99,6 +100,13 @@
     socket.pause();
   }
 
+  /** Writes `text` and closes the connection, on which nothing is unanswered. */
+  closeWith(text: string): void {
+    this.closeAfterLast();
+    this.socket.write(text);
+    this.lingering?.begin();
+  }
+
   /** Handles input behind the last request that is read. */
   discardInput(): void {
     if (this.size > 0) this.socket.pause();
--- a/packages/transport/src/caller-guard.ts
+++ b/packages/transport/src/caller-guard.ts
@@ -122,7 +122,10 @@
   limitRequests(socket: net.Socket): void {
     const connection = this.connections.get(socket);
     if (!connection) return;
-    parserLimit.limitParsing(socket, () => this.mayParse(connection));
+    parserLimit.limitParsing(socket, {
+      mayParse: () => this.mayParse(connection),
+      endParsing: () => connection.closeAfterLast(),
+    });
     sectionObserver.observeSections(socket, this.sections, connection, () =>
       this.record('unfinishedSection', connection),
     );
--- a/packages/transport/src/caller-server.ts
+++ b/packages/transport/src/caller-server.ts
@@ -198,7 +198,7 @@
     }
     this.refusals++;
     socket.once('close', () => this.refusals--);
-    refuseSocket(socket, 503, 'Connect to another host.');
+    refuseSocket(socket, refusal(503, 'Connect to another host.'));
   }
 
   private refuseMalformed(error: Error, socket: net.Socket): void {
@@ -208,23 +208,17 @@
       connection.discardInput();
       return;
     }
-    if (code === 'ECONNRESET' || !socket.writable) {
+    if (!connection || code === 'ECONNRESET' || !socket.writable) {
       socket.destroy();
       return;
     }
     this.countRefusal(code ?? 'malformed');
-    if (connection && connection.size > 0) {
+    if (connection.size > 0) {
       // A refusal would be read as part of the response in progress.
       socket.resetAndDestroy();
       return;
     }
-    if (code === 'HPE_HEADER_OVERFLOW') {
-      refuseSocket(socket, 431, 'Send fewer or shorter headers.');
-    } else if (code === 'ERR_HTTP_REQUEST_TIMEOUT') {
-      refuseSocket(socket, 408, 'Send the request without pauses.');
-    } else {
-      refuseSocket(socket, 400, 'Send a well-formed HTTP/1.1 request.');
-    }
+    connection.closeWith(malformedResponse(code));
   }
 
   private countRefusal(cause: string): void {
@@ -245,24 +239,37 @@
   return call.path.startsWith('/') ? null : {reason: 'routeUnknown'};
 }
 
-/** Sends an error response on a socket without a parsed request. */
-function refuseSocket(
-  socket: net.Socket,
-  status: number,
-  advice: string,
-): void {
-  const body = JSON.stringify({outcome: 'not-run', advice});
+/** The response to input that is not a request, by the code of its error. */
+function malformedResponse(code: string | undefined): string {
+  switch (code) {
+    case 'HPE_HEADER_OVERFLOW':
+      return refusal(431, 'Send fewer or shorter headers.');
+    case 'ERR_HTTP_REQUEST_TIMEOUT':
+      return refusal(408, 'Send the request without pauses.');
+    default:
+      return refusal(400, 'Send a well-formed HTTP/1.1 request.');
+  }
+}
+
+/** Sends an error response on a socket without a parser. */
+function refuseSocket(socket: net.Socket, response: string): void {
   socket.on('error', () => socket.destroy());
   socket.setTimeout(REFUSAL_TIMEOUT_MS, () => socket.destroy());
   // Unread input would turn the close into a reset, and the caller would not
   // see the response.
   socket.resume();
-  socket.end(
+  socket.end(response);
+}
+
+/** A response after which the connection closes. */
+function refusal(status: number, advice: string): string {
+  const body = JSON.stringify({outcome: 'not-run', advice});
+  return (
     `HTTP/1.1 ${status} ${http.STATUS_CODES[status]}\r\n` +
-      'content-type: application/json\r\n' +
-      `content-length: ${Buffer.byteLength(body)}\r\n` +
-      'camphorwharf-outcome: not-run\r\n' +
-      'retry-after: 1\r\nconnection: close\r\n\r\n' +
-      body,
+    'content-type: application/json\r\n' +
+    `content-length: ${Buffer.byteLength(body)}\r\n` +
+    'camphorwharf-outcome: not-run\r\n' +
+    'retry-after: 1\r\nconnection: close\r\n\r\n' +
+    body
   );
 }
--- a/packages/transport/src/index.ts
+++ b/packages/transport/src/index.ts
@@ -60,6 +60,7 @@
 export {containsStatusLine} from './response-head.js';
 export {LingeringClose} from './lingering-close.js';
 export {limitIdleParsers, limitParsing} from './parser-limit.js';
+export type {ParsingControl} from './parser-limit.js';
 export {SectionMemory} from './section-memory.js';
 export type {SectionHolder} from './section-memory.js';
 export {observeSections} from './section-observer.js';
--- a/packages/transport/src/operator-server.ts
+++ b/packages/transport/src/operator-server.ts
@@ -93,24 +93,33 @@
    * before a further one, because unread responses would accumulate.
    */
   private limitRequests(socket: net.Socket): void {
-    parserLimit.limitParsing(socket, () => {
-      if (this.closing.has(socket)) return false;
-      const response = this.unanswered.get(socket);
-      if (!response) return true;
-      const lingering = new lingeringClose.LingeringClose(socket);
-      this.closing.set(socket, lingering);
-      // Node.js calls this after a response with `connection: close`.
-      socket.destroySoon = () => lingering.begin();
-      response.shouldKeepAlive = false;
-      socket.pause();
-      this.options.metrics?.count(
-        'operator_connections_closed_total',
-        'Connections to the operator server closed for pipelined requests.',
-      );
-      return false;
+    parserLimit.limitParsing(socket, {
+      mayParse: () => {
+        if (this.closing.has(socket)) return false;
+        if (!this.unanswered.has(socket)) return true;
+        this.closeAfterResponse(socket);
+        this.options.metrics?.count(
+          'operator_connections_closed_total',
+          'Connections to the operator server closed for pipelined requests.',
+        );
+        return false;
+      },
+      endParsing: () => this.closeAfterResponse(socket),
     });
   }
 
+  /** Ends reading; the connection closes after the response in progress. */
+  private closeAfterResponse(socket: net.Socket): void {
+    const response = this.unanswered.get(socket);
+    if (!response) return;
+    const lingering = new lingeringClose.LingeringClose(socket);
+    this.closing.set(socket, lingering);
+    // Node.js calls this after a response with `connection: close`.
+    socket.destroySoon = () => lingering.begin();
+    response.shouldKeepAlive = false;
+    socket.pause();
+  }
+
   /** Starts listening. Port 0 selects a free port. Resolves with the port. */
   listen(port: number, address: string): Promise<number> {
     return new Promise((resolve, reject) => {
