Limit the time in which a request arrives

What callers saw: nothing yet; a client could keep a connection and its request for as long as it sent a byte of a body or of trailers now and then, if its route was unknown or its deadline far away.

Cause: the daemon of a host had a limit on the time of headers only.

Change: limits.request_timeout, from the first byte to the last one of the trailers, 300 s by default: far above the deadlines of requests, at which they are answered anyway. The connection is then reset, which promises nothing.

Evidence: two new tests wait for a close that does not come on.

--- a/packages/host-daemon/src/caller-http-server.ts
+++ b/packages/host-daemon/src/caller-http-server.ts
@@ -79,14 +79,12 @@
     this.server = http.createServer(
       {
         maxHeaderSize: INITIAL_HEADER_BYTES + REQUEST_LINE_BYTES,
-        headersTimeout: INITIAL_HEADER_TIMEOUT_MS,
-        requestTimeout: 0,
-        keepAliveTimeout: INITIAL_IDLE_TIMEOUT_MS,
         connectionsCheckingInterval: CONNECTION_CHECK_INTERVAL_MS,
         noDelay: true,
       },
       (request, response) => void this.handleRequest(request, response),
     );
+    this.setTimeouts(INITIAL_HEADER_TIMEOUT_MS, INITIAL_IDLE_TIMEOUT_MS);
     // No limit: Node.js would silently drop the fields beyond it.
     this.server.maxHeadersCount = 0;
     transport.limitIdleParsers();
@@ -132,8 +130,15 @@
     // Applies to connections that are opened from now on.
     const server = this.server as {maxHeaderSize?: number};
     server.maxHeaderSize = limits.maximumHeaderBytes + REQUEST_LINE_BYTES;
-    this.server.headersTimeout = limits.headerTimeoutMs;
-    this.server.keepAliveTimeout = limits.idleTimeoutMs;
+    this.setTimeouts(limits.headerTimeoutMs, limits.idleTimeoutMs);
+  }
+
+  private setTimeouts(headerMs: number, idleMs: number): void {
+    const {server, limits} = this;
+    server.headersTimeout = headerMs;
+    // Node.js exchanges the two if the one of the request is shorter.
+    server.requestTimeout = Math.max(limits.requestMs, headerMs);
+    server.keepAliveTimeout = idleMs;
   }
 
   /** Closes each connection after its next response. */
--- a/packages/host-daemon/src/client-limits.ts
+++ b/packages/host-daemon/src/client-limits.ts
@@ -11,6 +11,11 @@
    * client is seen to read in steps that are minutes apart.
    */
   readonly unreadMs: number;
+  /**
+   * Time in which a request has to arrive, from its first byte to the last one
+   * of its body and trailers, in milliseconds.
+   */
+  readonly requestMs: number;
   /** Connections to the status and to the metrics server, each. */
   readonly statusConnections: number;
   /** Connections to the peer port that have not identified themselves. */
@@ -22,6 +27,7 @@
   callerConnections: 2_000,
   pipelinedRequests: 128,
   unreadMs: 300_000,
+  requestMs: 300_000,
   statusConnections: 64,
   peerHandshakes: 1_024,
 };
--- a/packages/host-daemon/src/test/unusual-requests_test.ts
+++ b/packages/host-daemon/src/test/unusual-requests_test.ts
@@ -3,6 +3,7 @@
 import * as transport from '@camphorwharf/transport';
 import test from 'ava';
 import * as callerHttpServer from '../caller-http-server.js';
+import * as clientLimits from '../client-limits.js';
 import * as helpers from './test-helpers.js';
 
 const MAXIMUM_HEADER_BYTES = 16_384;
@@ -23,15 +24,23 @@
 async function startServer(
   t: {teardown(end: () => void): void},
   handler: callerHttpServer.CallerHttpServerOptions['handler'],
+  timeoutMs: number | null = null,
 ): Promise<callerHttpServer.CallerHttpServer> {
   const server = new callerHttpServer.CallerHttpServer({
     clock: new runtime.SystemClock(),
     logger: runtime.silentLogger,
     metrics: new runtime.Metrics(),
     bodyMemory: new transport.BodyMemory(),
+    clientLimits: {
+      ...clientLimits.DEFAULT_CLIENT_LIMITS,
+      ...(timeoutMs === null ? {} : {requestMs: timeoutMs}),
+    },
     handler,
   });
-  server.applyLimits(LIMITS);
+  server.applyLimits({
+    ...LIMITS,
+    headerTimeoutMs: timeoutMs ?? LIMITS.headerTimeoutMs,
+  });
   await server.listen(0, '127.0.0.1');
   t.teardown(() => server.close());
   return server;
@@ -210,3 +219,27 @@
   await helpers.waitUntil(() => client.statuses.split(' ').length === 9);
   t.is(received, body);
 });
+
+const CHUNKED_START =
+  'POST / HTTP/1.1\r\nHost: a.example\r\nTransfer-Encoding: chunked\r\n\r\n';
+
+for (const [name, text] of [
+  ['a body', `${CHUNKED_START}3\r\nabc\r\n`],
+  ['trailers', `${CHUNKED_START}3\r\nabc\r\n0\r\nx-a: b\r\n`],
+]) {
+  test(`a request without the end of ${name} closes its connection`, async t => {
+    // Guards against requests that occupy a connection for ever.
+    const server = await startServer(
+      t,
+      async request => {
+        await request.readBody(1_000);
+        return callerHttpServer.adviceResponse(200, 'done');
+      },
+      200,
+    );
+    const client = new Client(server.port, text);
+    t.teardown(() => client.socket.destroy());
+    await helpers.waitUntil(() => client.isClosed);
+    t.is(client.statuses, '');
+  });
+}
