Let idle connections make room for new ones at the limit

What callers saw: clients that send one request on each connection and keep all of them occupied the limit on connections, and ordinary clients were refused until the idle timeout.

Cause: at the limit, only a connection without any request made room, because a request may be on its way on another one.

Change: if there is none, the connection makes room that has been idle for longest, for a second at least. A request that crosses the close has not been read and is repeated by its client; connections that have just been used are kept as before.

--- a/packages/host-daemon/src/caller-connection.ts
+++ b/packages/host-daemon/src/caller-connection.ts
@@ -34,6 +34,7 @@
   private requestCount = 0;
   private isClosing = false;
   private hasTooManyRequests = false;
+  private idleCheckCount = 0;
   /** Number of causes for which reading is paused. */
   private holds = 0;
   private readonly unsent: unsentResponses.UnsentResponses;
@@ -158,11 +159,17 @@
     return this.unsent.slowChecks;
   }
 
+  /** Number of checks in a row for which nothing has been unanswered. */
+  get idleChecks(): number {
+    return this.size === 0 ? this.idleCheckCount : 0;
+  }
+
   /**
    * Returns the number of checks in a row, including this one, for which the
    * client has read nothing although there is something to read.
    */
   checkProgress(): number {
+    this.idleCheckCount = this.size === 0 ? this.idleCheckCount + 1 : 0;
     return this.unsent.checkProgress();
   }
 
--- a/packages/host-daemon/src/client-guard.ts
+++ b/packages/host-daemon/src/client-guard.ts
@@ -12,12 +12,20 @@
  */
 const SLOW_CHECKS = 4;
 
+/**
+ * At the limit, a connection may be replaced that has been idle for this number
+ * of checks, one second.
+ */
+const IDLE_CHECKS = 4;
+
 /** Why a connection of a client is closed or not accepted. */
 export type CloseCause =
   /** The limit on connections is reached. */
   | 'connectionLimit'
   /** Closed without a request, to accept another connection at the limit. */
   | 'unusedAtLimit'
+  /** Closed between requests, to accept another connection at the limit. */
+  | 'idleAtLimit'
   /** More requests were pipelined than may wait. */
   | 'tooManyRequests'
   /** It held the most while the memory for responses was full. */
@@ -52,23 +60,26 @@
   }
 
   /**
-   * Accepts a new connection, if need be in place of one that has sent no
-   * request. Otherwise closes it and returns false.
+   * Accepts a new connection. At the limit, it replaces one that has sent no
+   * request, or else the one that has been idle for longest, for a second at
+   * least: a request that its client sends at the same time has not been read,
+   * so it can be repeated. Otherwise closes it and returns false.
    */
   accept(socket: net.Socket): boolean {
     const {connections, limits} = this.options;
     if (connections.size < limits.callerConnections) return true;
-    for (const [other, connection] of connections) {
-      if (!connection.isUnused) continue;
-      this.record('unusedAtLimit', other);
-      // Several connections are accepted before the event `close` of this one.
-      connections.delete(other);
-      other.destroy();
-      return true;
+    const unused = this.findUnused();
+    const replaced = unused ?? this.findLongestIdle();
+    if (!replaced) {
+      this.record('connectionLimit', socket);
+      socket.destroy();
+      return false;
     }
-    this.record('connectionLimit', socket);
-    socket.destroy();
-    return false;
+    this.record(unused ? 'unusedAtLimit' : 'idleAtLimit', replaced);
+    // Several connections are accepted before the event `close` of this one.
+    connections.delete(replaced);
+    replaced.destroy();
+    return true;
   }
 
   /** Counts and logs that a connection closes. */
@@ -86,6 +97,24 @@
     this.log.info('caller-connection-closed', {cause, address, ...fields});
   }
 
+  private findUnused(): net.Socket | null {
+    for (const [socket, connection] of this.options.connections) {
+      if (connection.isUnused) return socket;
+    }
+    return null;
+  }
+
+  private findLongestIdle(): net.Socket | null {
+    let longest: net.Socket | null = null;
+    let longestChecks = IDLE_CHECKS - 1;
+    for (const [socket, {idleChecks}] of this.options.connections) {
+      if (idleChecks > longestChecks) {
+        [longest, longestChecks] = [socket, idleChecks];
+      }
+    }
+    return longest;
+  }
+
   private check(): void {
     const {connections, limits, memory} = this.options;
     const isFull = memory.responses.isFull;
--- a/packages/host-daemon/src/test/client-guard_test.ts
+++ b/packages/host-daemon/src/test/client-guard_test.ts
@@ -140,6 +140,28 @@
   );
 });
 
+test('at the limit idle connections make room for an ordinary client', async t => {
+  // Guards against clients that keep others out by one request now and then.
+  const {connect} = await open(t);
+  const idle = [connect(), connect()];
+  for (const client of idle) {
+    readAll(client);
+    client.socket.write(request('/idle'));
+    await helpers.waitUntil(() => client.received.includes('/idle'));
+  }
+  let ordinary = connect();
+  await helpers.waitUntil(() => {
+    if (ordinary.isClosed) {
+      ordinary = connect();
+      readAll(ordinary);
+      ordinary.socket.write(request('/ordinary'));
+    }
+    return ordinary.received.includes('/ordinary');
+  });
+  await helpers.waitUntil(() => idle.some(({isClosed}) => isClosed));
+  t.is(idle.filter(({isClosed}) => isClosed).length, 1);
+});
+
 test('a client that reads nothing is closed when the memory is full', async t => {
   // Guards against one client that keeps the memory from all others.
   const {connect, logged} = await open(t);
