Bound connections that are not read because of pipelined requests

What callers saw: nothing in our tests.

Change: connections that are not read because their clients have sent too many requests ahead may be as many as 5% of the memory has room for at 512 KiB each. Beyond it, those with the most unanswered requests close. Connections that close in a planned stop do not count.

--- a/packages/host-daemon/src/caller-connection.ts
+++ b/packages/host-daemon/src/caller-connection.ts
@@ -34,6 +34,8 @@
   private requestCount = 0;
   private isClosing = false;
   private hasTooManyRequests = false;
+  /** Whether the client has sent more requests than are parsed. */
+  private isOverLimit = false;
   private idleCheckCount = 0;
   /** Number of causes for which reading is paused. */
   private holds = 0;
@@ -81,6 +83,11 @@
     return this.requestCount === 0;
   }
 
+  /** Whether the connection is not read because of its unanswered requests. */
+  get isHeld(): boolean {
+    return this.size > 0 && (this.hasTooManyRequests || this.isOverLimit);
+  }
+
   /** Whether no request that is read from now on is processed. */
   get closing(): boolean {
     return this.isClosing;
@@ -144,6 +151,7 @@
       MAXIMUM_UNANSWERED_REQUESTS,
     );
     if (this.size < limit) return true;
+    this.isOverLimit = true;
     this.endReading();
     return false;
   }
--- a/packages/host-daemon/src/client-guard.ts
+++ b/packages/host-daemon/src/client-guard.ts
@@ -30,6 +30,8 @@
   | 'tooManyRequests'
   /** It held the most while the memory for responses was full. */
   | 'memoryFull'
+  /** It had the most unanswered requests of the connections that wait. */
+  | 'tooManyHeld'
   /** It held the most of the headers and trailers that have not been ended. */
   | 'unfinishedSection'
   /** Its client has read nothing for too long. */
@@ -120,7 +122,9 @@
     const isFull = memory.responses.isFull;
     let worst: callerConnection.CallerConnection | null = null;
     let worstCost = 0;
+    let heldCount = 0;
     for (const connection of connections.values()) {
+      if (connection.isHeld) heldCount++;
       const checks = connection.checkProgress();
       if (checks * CHECK_INTERVAL_MS >= limits.unreadMs) {
         this.close(connection, 'unread');
@@ -130,6 +134,22 @@
       }
     }
     if (worst) this.close(worst, 'memoryFull');
+    const excess = heldCount - memory.maximumHeldConnections;
+    if (excess > 0) this.closeHeld(excess);
+  }
+
+  /**
+   * Closes connections that are not read because their clients have sent too
+   * many requests ahead: the kernel receives bytes for each of them.
+   */
+  private closeHeld(count: number): void {
+    const held = [...this.options.connections.values()].filter(
+      ({isHeld}) => isHeld,
+    );
+    held.sort((first, second) => second.size - first.size);
+    for (const connection of held.slice(0, count)) {
+      this.close(connection, 'tooManyHeld');
+    }
   }
 
   private close(
--- a/packages/host-daemon/src/client-memory.ts
+++ b/packages/host-daemon/src/client-memory.ts
@@ -15,6 +15,12 @@
 /** Sections that clients have begun and not ended, as a part of the memory. */
 const SECTION_RATIO = 0.05;
 
+/** Received bytes of connections that are not read, as a part of the memory. */
+const UNREAD_RATIO = 0.05;
+
+/** What the kernel receives for a connection that is not read. */
+const UNREAD_CONNECTION_BYTES = 512 * 1024;
+
 /** Unsent responses of all clients, as a part of the process's memory. */
 const RESPONSE_RATIO = 0.12;
 
@@ -75,11 +81,16 @@
 export class ClientMemory {
   readonly responses: transport.ResponseMemory;
   readonly sections: transport.SectionMemory;
+  /** Connections that may be held at a time because of their requests. */
+  readonly maximumHeldConnections: number;
   private requestBytes = 0;
   private readonly maximumRequestBytes: number;
 
   constructor(memoryBytes: number) {
     this.maximumRequestBytes = memoryBytes * REQUEST_RATIO;
+    this.maximumHeldConnections = Math.floor(
+      (memoryBytes * UNREAD_RATIO) / UNREAD_CONNECTION_BYTES,
+    );
     this.responses = new transport.ResponseMemory(
       Math.floor(memoryBytes * RESPONSE_RATIO),
     );
--- a/packages/host-daemon/src/test/caller-connection_test.ts
+++ b/packages/host-daemon/src/test/caller-connection_test.ts
@@ -186,6 +186,16 @@
   });
 }
 
+test('a connection that closes after its responses is not held', t => {
+  // Guards against resetting connections with running requests in a planned
+  // stop, when more of them close than may be held.
+  const memory = new clientMemory.ClientMemory(MEMORY_BYTES);
+  const {connection, add} = open(memory);
+  add();
+  connection.closeAfterLast();
+  t.false(connection.isHeld);
+});
+
 function untilNextIteration(): Promise<void> {
   return new Promise(resolve => setImmediate(resolve));
 }
--- a/packages/host-daemon/src/test/client-guard_test.ts
+++ b/packages/host-daemon/src/test/client-guard_test.ts
@@ -48,6 +48,7 @@
     clientLimits: {...LIMITS, ...limits},
     handler: ({path}) => {
       paths.push(path);
+      if (path === '/silent') return new Promise(() => undefined);
       const body = path === '/large' ? LARGE_BODY : Buffer.from(path);
       return Promise.resolve({status: 200, headers: [], body});
     },
@@ -140,6 +141,29 @@
   );
 });
 
+test('of the connections that are not read, those with most requests close', async t => {
+  // Guards against requests sent ahead on many connections, of which the kernel
+  // receives more than the host has memory for: 1 MB is two connections.
+  const {connect, logged} = await open(t, {
+    callerConnections: 20,
+    pipelinedRequests: 100,
+  });
+  const clients: Client[] = [];
+  for (let index = 0; index < 4; index++) {
+    const client = connect();
+    client.socket.resume();
+    client.socket.write(request('/silent').repeat(40 + index));
+    clients.push(client);
+  }
+  await helpers.waitUntil(() => logged.length === 2);
+  t.deepEqual(
+    logged.map(({cause}) => cause),
+    ['tooManyHeld', 'tooManyHeld'],
+  );
+  await helpers.waitUntil(() => clients[2].isClosed && clients[3].isClosed);
+  t.is(clients.filter(({isClosed}) => isClosed).length, 2);
+});
+
 test('at the limit idle connections make room for an ordinary client', async t => {
   // Guards against clients that keep others out by one request now and then.
   const {connect} = await open(t);
