Answer unknown expectations like other requests

Cause: Node.js answered requests with an unknown expectation itself, with 417, so neither the limit on pipelined requests nor the memory account knew them.

Change: they take the way of other requests, with the same status.

--- a/packages/host-daemon/src/caller-http-server.ts
+++ b/packages/host-daemon/src/caller-http-server.ts
@@ -87,6 +87,10 @@
     this.setTimeouts(INITIAL_HEADER_TIMEOUT_MS, INITIAL_IDLE_TIMEOUT_MS);
     // No limit: Node.js would silently drop the fields beyond it.
     this.server.maxHeadersCount = 0;
+    this.server.on(
+      'checkExpectation',
+      (request, response) => void this.handleRequest(request, response),
+    );
     transport.limitIdleParsers();
     this.server.on('connection', (socket: net.Socket) =>
       this.addConnection(socket),
@@ -231,7 +235,7 @@
       await connection.untilStartable(exchange);
       if (cancel.aborted) return null;
       return (
-        this.findRefusal(headerBytes) ??
+        this.findRefusal(request, headerBytes) ??
         (await this.reply(connection, exchange, arrivedMs))
       );
     } finally {
@@ -241,6 +245,7 @@
 
   /** Returns the response to a request that is refused without its body. */
   private findRefusal(
+    {headers}: http.IncomingMessage,
     headerBytes: number,
   ): callerMessages.CallerResponse | null {
     if (headerBytes > this.maximumHeaderBytes) {
@@ -249,6 +254,9 @@
         'Send fewer or shorter headers.',
       );
     }
+    if (callerMessages.hasUnknownExpectation(headers.expect)) {
+      return callerMessages.adviceResponse(417, 'Send no such expectation.');
+    }
     return null;
   }
 
--- a/packages/host-daemon/src/caller-messages.ts
+++ b/packages/host-daemon/src/caller-messages.ts
@@ -50,3 +50,10 @@
     body: Buffer.from(JSON.stringify({advice})),
   };
 }
+
+/** Whether a request expects something other than 100 (Continue). */
+export function hasUnknownExpectation(
+  expectation: string | undefined,
+): boolean {
+  return expectation !== undefined && !/^100-continue$/i.test(expectation);
+}
--- a/packages/host-daemon/src/test/unusual-requests_test.ts
+++ b/packages/host-daemon/src/test/unusual-requests_test.ts
@@ -169,6 +169,12 @@
     statuses: '431',
     fields: [],
   },
+  {
+    name: 'an unknown expectation',
+    text: `${START}Expect: other\r\n\r\n`,
+    statuses: '417',
+    fields: [],
+  },
 ];
 
 for (const testCase of HEADER_CASES) {
