--- a/review/stand-ins-2/clients.mjs
+++ b/review/stand-ins-2/clients.mjs
@@ -33,12 +33,14 @@
    * Sends a request without a body and resolves with its answer, or with
    * `status: 0` if the connection ends without a whole one.
    */
-  async request(method, url, host, deadlineMs, id = requestId()) {
+  async request(method, url, host, options) {
+    const {deadlineMs, fields = {}, id = requestId()} = options;
     this.text = '';
     this.socket.write(
       requestHead(method, url, host, {
         'Camphorwharf-Request-Id': id,
         'Camphorwharf-Request-Deadline': deadlineMs,
+        ...fields,
         ...(method === 'GET' ? {} : {'Content-Length': 0}),
       }),
     );
