--- a/review/7/scenario.mjs
+++ b/review/7/scenario.mjs
@@ -3,6 +3,8 @@
 import * as clients from '../stand-ins-2/clients.mjs';
 import * as fleets from '../stand-ins-2/fleet.mjs';
 
+const {names} = fleets;
+
 const WITH_TROUBLE = process.env.TROUBLE !== '0';
 const HOST = 'orders.example';
 /** `config_apply` and a second more. */
@@ -21,19 +23,19 @@
 
 function serveTarget(host) {
   return (request, response) => {
-    const id = request.headers['camphorwharf-request-id'];
+    const id = request.headers[names.requestId.toLowerCase()];
     if (request.url === '/healthz') {
-      response.writeHead(200, {'Camphorwharf-Instance-Id': host.instance});
+      response.writeHead(200, {[names.instanceId]: host.instance});
       response.end();
       return;
     }
     request.resume();
-    const tenant = request.headers['camphorwharf-tenant-id'] ?? 'none';
+    const tenant = request.headers[names.tenantId.toLowerCase()] ?? 'none';
     record.line(`target of ${host.service} runs ${id}, tenant ${tenant}`);
     runs.set(id, (runs.get(id) ?? 0) + 1);
     response.writeHead(200, {
-      'Camphorwharf-Request-Id': id,
-      'Camphorwharf-Response-Signature': `proof-${id}`,
+      [names.requestId]: id,
+      [names.signature]: `proof-${id}`,
       'Content-Length': 4,
     });
     response.end('done');
@@ -62,12 +64,12 @@
       tenants,
     }),
   );
-  const names = tenants.map(
-    ({api_keys, name}) => `${name} with ${api_keys.length} keys`,
+  const written = tenants.map(
+    tenant => `${tenant.name} with ${tenant[names.keys].length} keys`,
   );
   record.line(
     `the store acknowledges configuration ${version}, tenants: ` +
-      (names.join(', ') || 'none'),
+      (written.join(', ') || 'none'),
   );
 }
 
@@ -97,9 +99,9 @@
   }
   const tenant = {
     name: 'pulo780',
-    api_keys: [FIRST_KEY, SECOND_KEY],
+    [names.keys]: [FIRST_KEY, SECOND_KEY],
     priority: 1,
-    rate_per_s: 0,
+    [names.rate]: 0,
     burst: 0,
   };
   writeConfiguration(1, [tenant]);
--- a/review/8/scenario.mjs
+++ b/review/8/scenario.mjs
@@ -7,6 +7,8 @@
 import path from 'node:path';
 import * as fleets from '../stand-ins-2/fleet.mjs';
 
+const {names} = fleets;
+
 const WITH_TROUBLE = process.env.TROUBLE !== '0';
 const HOST = 'claims.example';
 const CLAIMS = 3;
@@ -37,10 +39,10 @@
 const sinceSignal = () => Date.now() - signalledMs;
 
 function answer(request, response, status = 200) {
-  const id = request.headers['camphorwharf-request-id'];
+  const id = request.headers[names.requestId.toLowerCase()];
   response.writeHead(status, {
-    'Camphorwharf-Request-Id': id,
-    'Camphorwharf-Response-Signature': `proof-${id}`,
+    [names.requestId]: id,
+    [names.signature]: `proof-${id}`,
     'Content-Length': 4,
   });
   response.end('done');
@@ -48,7 +50,7 @@
 
 function answeredHealth(host, request, response) {
   if (request.url !== '/healthz') return false;
-  response.writeHead(200, {'Camphorwharf-Instance-Id': host.instance}).end();
+  response.writeHead(200, {[names.instanceId]: host.instance}).end();
   return true;
 }
 
@@ -62,9 +64,9 @@
         path: url,
         agent: false,
         headers: {
-          'Host': HOST,
-          'Camphorwharf-Request-Id': id,
-          'Camphorwharf-Request-Deadline': String(deadlineMs),
+          Host: HOST,
+          [names.requestId]: id,
+          [names.deadline]: String(deadlineMs),
         },
       },
       response => {
@@ -72,9 +74,7 @@
         response.on('close', () =>
           resolve({
             status: response.complete ? response.statusCode : 0,
-            isSigned: Boolean(
-              response.headers['camphorwharf-response-signature'],
-            ),
+            isSigned: Boolean(response.headers[names.signature.toLowerCase()]),
           }),
         );
       },
@@ -108,7 +108,7 @@
 async function serveLedger(request, response) {
   if (answeredHealth(ledgerHost, request, response)) return;
   request.resume();
-  const call = calls.get(request.headers['camphorwharf-request-id']);
+  const call = calls.get(request.headers[names.requestId.toLowerCase()]);
   if (call) record.line(`target of ledger runs its call of ${call.sentMs} ms`);
   const startedMs = Date.now();
   response.on('close', () => {
--- a/review/stand-ins-2/clients.mjs
+++ b/review/stand-ins-2/clients.mjs
@@ -1,6 +1,6 @@
 // A client that speaks HTTP/1.1 on one connection and keeps it open.
 import net from 'node:net';
-import {requestId} from './fleet.mjs';
+import {names, requestId} from './fleet.mjs';
 
 export function requestHead(method, url, host, fields = {}) {
   const lines = Object.entries(fields).map(
@@ -38,8 +38,8 @@
     this.text = '';
     this.socket.write(
       requestHead(method, url, host, {
-        'Camphorwharf-Request-Id': id,
-        'Camphorwharf-Request-Deadline': deadlineMs,
+        [names.requestId]: id,
+        [names.deadline]: deadlineMs,
         ...fields,
         ...(method === 'GET' ? {} : {'Content-Length': 0}),
       }),
--- a/review/stand-ins-2/fleet.mjs
+++ b/review/stand-ins-2/fleet.mjs
@@ -9,6 +9,14 @@
 
 export const REPOSITORY = path.resolve(import.meta.dirname, '../..');
 
+/** Names of the platform, which no other file of the scripts spells. */
+export const names = JSON.parse(
+  fs.readFileSync(
+    path.join(import.meta.dirname, 'platform-names.json'),
+    'utf8',
+  ),
+);
+
 export const sleep = milliseconds =>
   new Promise(resolve => setTimeout(resolve, milliseconds));
 
@@ -67,7 +75,7 @@
   throw new Error('No free ports were found.');
 }
 
-/** The platform's store: kv-key, kv-range and kv-watch as PROTOCOL.md says. */
+/** The platform's store: its three reading calls as PROTOCOL.md says. */
 export class Store {
   constructor() {
     this.items = new Map();
@@ -113,13 +121,13 @@
       response.end(JSON.stringify(body));
     };
     switch (url.pathname) {
-      case '/-/kv-key': {
+      case names.keyPath: {
         const item = this.items.get(url.searchParams.get('key'));
         if (item) send(200, {...item, at_revision: this.revision});
         else send(404, {at_revision: this.revision});
         return;
       }
-      case '/-/kv-range': {
+      case names.rangePath: {
         const after = url.searchParams.get('after') ?? '';
         const items = [...this.items.values()]
           .filter(({key}) => key.startsWith(prefix) && key > after)
@@ -127,7 +135,7 @@
         send(200, {items, has_more: false, at_revision: this.revision});
         return;
       }
-      case '/-/kv-watch':
+      case names.watchPath:
         this.watch(prefix, url.searchParams, response, send);
         return;
       default:
@@ -226,7 +234,7 @@
         `ip = "${address}"`,
         `zone = "${zone}"`,
         'region = "senegal-west"',
-        `port_range = [${peers},${peers + 15}]`,
+        `${names.portRange} = [${peers},${peers + 15}]`,
         'seeds = []',
         'bootstrap = true',
         'loss_counts = false',
@@ -235,7 +243,7 @@
         'heartbeat = "1500ms"',
         'contracts = ["base","drain","config","cost","retry","recover","pressure","tenants","quota","platform"]',
         `bounds = ${JSON.stringify(bounds)}`,
-        `app_addr = "${address}:${application}"`,
+        `${names.applicationAddress} = "${address}:${application}"`,
         `service = "${service}"`,
         '[zones]',
         `${zone} = "senegal-west"`,
@@ -337,9 +345,9 @@
         address: `${host.address}:${this.ports.application}`,
         zone: host.zone ?? 'dakar',
         version: 'v1',
-        max_concurrency: host.slots,
+        [names.maximumConcurrency]: host.slots,
         phase: host.phase,
-        cold_remaining: '0ms',
+        [names.coldRemaining]: '0ms',
         sequence: host.sequence,
         born: host.bornMs,
       });
@@ -349,7 +357,7 @@
   }
 
   writeConfiguration(configuration) {
-    return this.store.write('op/config', configuration);
+    return this.store.write(names.configurationKey, configuration);
   }
 
   /** Listens as the target of a host. */
@@ -393,7 +401,7 @@
   'timeout',
   'aim',
   'priority',
-  'traffic_split',
+  names.trafficSplit,
   'max_attempts',
   'public',
   'service',
@@ -425,7 +433,7 @@
       ? {}
       : {
           tenants: table(
-            ['name', 'api_keys', 'priority', 'rate_per_s', 'burst'],
+            ['name', names.keys, 'priority', names.rate, 'burst'],
             tenants,
           ),
         }),
