Require a key also when no tenant is left

Cause: the decoder made the same empty list of a table without rows and of no table, and the check of the key took the list as "keys are optional". The log could not tell the two apart (organisations: 0 in both); a rejected configuration was ruled out, as then an unknown key would still get 401.

Change: FleetConfiguration has a key policy of two kinds, optional, or required with its organisations, so that one value cannot mean both. The log line configuration-in-force tells which, and two gauges exist. `where` no longer offers an empty list of names. Hosts pass on the published text, so peers and restarted daemons needed no change.

Checks changed: "without organisations no key is required" demanded the fault; it is replaced by a table that distinguishes the two kinds.

--- a/packages/command-line/src/commands/where.ts
+++ b/packages/command-line/src/commands/where.ts
@@ -62,7 +62,7 @@
         const name = isRoute ? this.route : (this.organisation ?? '');
         throw errors.commandError(
           exitCodes.ExitCode.refused,
-          `${address}: the configuration has no ${preview.subject} ${name}. Use a name of the configuration in force, for example ${preview.known.join(', ')}.`,
+          `${address}: the configuration has no ${preview.subject} ${name}. ${describeKnown(preview.known)}`,
         );
       }
       case 'notReady':
@@ -77,6 +77,11 @@
   }
 }
 
+function describeKnown(names: readonly string[]): string {
+  if (names.length === 0) return 'It has none.';
+  return `Use a name of the configuration in force, for example ${names.join(', ')}.`;
+}
+
 function formatPreview(preview: requestPreview.RequestPreview): string {
   const {configuration, destinations, nested, organisation, refusal, route} =
     preview;
--- a/packages/command-line/src/test/where_test.ts
+++ b/packages/command-line/src/test/where_test.ts
@@ -91,6 +91,13 @@
     /^$/,
     /has no route x y\. Use [^.]* a, b\./,
   ],
+  'an organisation of a configuration without any': [
+    404,
+    '{"kind":"unknown","subject":"organisation","known":[]}',
+    1,
+    /^$/,
+    /has no organisation o&p\. It has none\./,
+  ],
   'no configuration': [503, '{"kind":"notReady"}', 4, /^$/, /documentMissing/],
   'no such path': [404, 'Not found.\n', 4, /^$/, /answered with status 404/],
   'another object': [200, '{}', 4, /^$/, /something other than a preview/],
--- a/packages/host-daemon/src/host-daemon.ts
+++ b/packages/host-daemon/src/host-daemon.ts
@@ -291,7 +291,7 @@
     nowMs: number,
   ): void {
     this.server.applyLimits(configuration.limits);
-    this.limits.configure(configuration.organisations, nowMs);
+    this.limits.configure(routing.organisationsOf(configuration), nowMs);
     this.coldStart.applyConfiguration(configuration, nowMs);
     this.reporter?.informDownstream();
   }
--- a/packages/host-daemon/src/request-preview.ts
+++ b/packages/host-daemon/src/request-preview.ts
@@ -99,7 +99,8 @@
     const {limits, state, stopSchedule} = this.options;
     const {index} = state;
     if (!index) return {kind: 'notReady'};
-    const {organisations, routes} = index.configuration;
+    const {configuration, organisations} = index;
+    const {routes} = configuration;
     const route = routes.find(({name}) => name === routeName);
     if (!route) return unknown('route', routes);
     const organisation =
--- a/packages/host-daemon/src/state-reports.ts
+++ b/packages/host-daemon/src/state-reports.ts
@@ -1,4 +1,4 @@
-import type * as routing from '@camphorwharf/routing';
+import * as routing from '@camphorwharf/routing';
 import type * as runtime from '@camphorwharf/runtime';
 import type * as readerSelection from './reader-selection.js';
 
@@ -20,18 +20,31 @@
     source: ChangeSource,
   ): void {
     const {logger, metrics} = this.options;
+    const {keyPolicy} = configuration;
+    const organisations = routing.organisationsOf(configuration).length;
     logger.info('configuration-in-force', {
       version: configuration.version,
       previous,
       source,
       routes: configuration.routes.length,
-      organisations: configuration.organisations.length,
+      keys: keyPolicy.kind,
+      organisations,
     });
     metrics.gauge(
       'configuration_version',
       'Version of the configuration in force.',
       configuration.version,
     );
+    metrics.gauge(
+      'configuration_keys_required',
+      '1 if requests on routes that are not public need a key.',
+      keyPolicy.kind === 'required' ? 1 : 0,
+    );
+    metrics.gauge(
+      'configuration_organisations',
+      'Organisations of the configuration in force.',
+      organisations,
+    );
     this.reportRejected(0);
     this.reportUnrecognisedKinds(configuration);
   }
--- a/packages/host-daemon/src/test/preview-fixture.ts
+++ b/packages/host-daemon/src/test/preview-fixture.ts
@@ -38,7 +38,7 @@
   state.onServersListed(items, 1, nowMs, 0);
   const members = new fleetLimits.FleetMembers(OWN_ADDRESS);
   const limits = new fleetLimits.FleetRateLimits(members, nowMs, random);
-  limits.configure(configuration.organisations, nowMs);
+  limits.configure(routing.organisationsOf(configuration), nowMs);
   const loadBalancer = new routing.TargetBalancer(
     OWN_ADDRESS,
     OWN_ZONE,
--- a/packages/host-daemon/src/test/request-handler_test.ts
+++ b/packages/host-daemon/src/test/request-handler_test.ts
@@ -14,12 +14,14 @@
 import * as sampleConfiguration from './sample-configuration.js';
 
 interface Overrides {
-  readonly key?: string;
+  /** Value of the header; null for a request without it. */
+  readonly key?: string | null;
   readonly path?: string;
   /** Milliseconds since the platform last confirmed the configuration. */
   readonly configurationAgeMs?: number;
   readonly byCost?: admission.CostDecision;
   readonly body?: requestBody.BodyFailure;
+  readonly keyPolicy?: routing.KeyPolicy;
 }
 
 /** Handles one request under the given pressures. */
@@ -54,7 +56,10 @@
     onContact: () => undefined,
   });
   state.onConfigurationRead(
-    JSON.stringify(sampleConfiguration.fleetConfiguration()),
+    JSON.stringify({
+      ...sampleConfiguration.fleetConfiguration(),
+      ...(overrides.keyPolicy ? {keyPolicy: overrides.keyPolicy} : {}),
+    }),
     0,
   );
   if (overrides.configurationAgeMs !== undefined) {
@@ -106,7 +111,9 @@
     rawHeaders: [],
     headers: {
       'host': 'shop.example',
-      'authorization': overrides.key ?? 'Key key-1',
+      ...(overrides.key === null
+        ? {}
+        : {authorization: overrides.key ?? 'Key key-1'}),
       'x-request': 'request-1',
       'x-remaining': '3000',
     },
@@ -210,6 +217,11 @@
   t.is(result.status, undefined);
 });
 
+const NO_ORGANISATIONS: routing.KeyPolicy = {
+  kind: 'required',
+  organisations: [],
+};
+
 /**
  * Guards against permanent refusals based on an old configuration: clients do
  * not retry after them, although a change that was confirmed seconds ago allows
@@ -219,6 +231,18 @@
   readonly [string, Overrides, number, string]
 > = [
   ['unknown key, fresh', {key: 'Key other'}, 401, 'keyUnknown'],
+  [
+    'a key, no organisation left, fresh',
+    {keyPolicy: NO_ORGANISATIONS},
+    401,
+    'keyUnknown',
+  ],
+  [
+    'no key, no organisation left, fresh',
+    {keyPolicy: NO_ORGANISATIONS, key: null},
+    401,
+    'keyMissing',
+  ],
   ['unknown route, fresh', {path: '/other'}, 404, 'routeUnknown'],
   ['unknown key, stale', {key: 'Key other'}, 503, 'configurationStale'],
   ['no key, stale', {key: ''}, 503, 'configurationStale'],
--- a/packages/host-daemon/src/test/request-preview_test.ts
+++ b/packages/host-daemon/src/test/request-preview_test.ts
@@ -243,6 +243,19 @@
   t.is(preview(createSender(), null).refusal, 'keyMissing');
 });
 
+test('a preview without organisations left', t => {
+  // Guards against an operator who is told that a request needs no key after
+  // the last organisation has been removed (review/7).
+  const configuration: routing.FleetConfiguration = {
+    ...sampleConfiguration.fleetConfiguration(),
+    keyPolicy: {kind: 'required', organisations: []},
+  };
+  const sender = previewFixture.createSender(configuration, LISTED);
+  t.is(preview(sender, null).refusal, 'keyMissing');
+  const result = sender.handler.preview.preview('parts', 'saloum-mills');
+  t.deepEqual(result, {kind: 'unknown', subject: 'organisation', known: []});
+});
+
 test('a preview changes no state and draws no random numbers', async t => {
   // Guards against a command that takes tokens or moves requests elsewhere.
   const destinations = [
--- a/packages/host-daemon/src/test/sample-configuration.ts
+++ b/packages/host-daemon/src/test/sample-configuration.ts
@@ -26,16 +26,19 @@
       },
     ],
     services,
-    organisations: [
-      {
-        name: 'saloum-mills',
-        keys: ['key-1'],
-        priority: null,
-        ratePerSecond: 0,
-        burst: 0,
-        ...organisation,
-      },
-    ],
+    keyPolicy: {
+      kind: 'required',
+      organisations: [
+        {
+          name: 'saloum-mills',
+          keys: ['key-1'],
+          priority: null,
+          ratePerSecond: 0,
+          burst: 0,
+          ...organisation,
+        },
+      ],
+    },
     limits: {
       maximumHeaderBytes: 16_384,
       maximumBodyBytes: 10_000_000,
--- a/packages/routing/src/configuration-index.ts
+++ b/packages/routing/src/configuration-index.ts
@@ -1,4 +1,5 @@
 import type * as configuration from './fleet-configuration.js';
+import * as keyPolicy from './key-policy.js';
 import * as weightedSplit from './weighted-split.js';
 
 /** Result of checking the key of a request, or its absence. */
@@ -43,7 +44,7 @@
     for (const routes of this.routesByHost.values()) {
       routes.sort((left, right) => right.prefix.length - left.prefix.length);
     }
-    for (const organisation of configuration.organisations) {
+    for (const organisation of this.organisations) {
       for (const key of organisation.keys) {
         this.organisationsByKey.set(key, organisation);
       }
@@ -57,6 +58,10 @@
     return this.configuration.version;
   }
 
+  get organisations(): readonly configuration.Organisation[] {
+    return keyPolicy.organisationsOf(this.configuration);
+  }
+
   /** Returns the route of the host with the longest matching path prefix. */
   matchRoute(host: string, path: string): configuration.Route | null {
     const portStart = host.indexOf(':');
@@ -88,7 +93,7 @@
   /** Checks the key of a request; `key` is null if the request has none. */
   checkKey(route: configuration.Route, key: string | null): KeyVerdict {
     const isKeyOptional =
-      route.isPublic || this.configuration.organisations.length === 0;
+      route.isPublic || this.configuration.keyPolicy.kind === 'optional';
     if (key === null) {
       return isKeyOptional
         ? {kind: 'allowed', organisation: null}
--- a/packages/routing/src/fleet-configuration.ts
+++ b/packages/routing/src/fleet-configuration.ts
@@ -48,6 +48,19 @@
   readonly burst: number;
 }
 
+/**
+ * Whether requests on routes that are not public need the key of an
+ * organisation.
+ */
+export type KeyPolicy =
+  /** The configuration does not speak of organisations. */
+  | {readonly kind: 'optional'}
+  /** Without any organisation, no key is accepted. */
+  | {
+      readonly kind: 'required';
+      readonly organisations: readonly Organisation[];
+    };
+
 export interface ServiceSettings {
   readonly name: string;
   readonly healthPath: string;
@@ -81,6 +94,6 @@
   readonly version: number;
   readonly routes: readonly Route[];
   readonly services: readonly ServiceSettings[];
-  readonly organisations: readonly Organisation[];
+  readonly keyPolicy: KeyPolicy;
   readonly limits: ClientLimits;
 }
--- a/packages/routing/src/index.ts
+++ b/packages/routing/src/index.ts
@@ -8,6 +8,7 @@
 export {ConfigurationIndex} from './configuration-index.js';
 export type {KeyVerdict} from './configuration-index.js';
 export type * from './fleet-configuration.js';
+export {organisationsOf} from './key-policy.js';
 export {ServerSpeed} from './server-speed.js';
 export {TargetBalancer} from './target-balancer.js';
 export {CandidateExclusion, TargetPreview} from './target-preview.js';
--- a/packages/routing/src/test/configuration-index_test.ts
+++ b/packages/routing/src/test/configuration-index_test.ts
@@ -26,13 +26,16 @@
 
 function index(
   routes: ReadonlyArray<Partial<configuration.Route>>,
-  organisations: readonly configuration.Organisation[] = [ORGANISATION],
+  keyPolicy: configuration.KeyPolicy = {
+    kind: 'required',
+    organisations: [ORGANISATION],
+  },
 ): configurationIndex.ConfigurationIndex {
   return new configurationIndex.ConfigurationIndex({
     version: 3,
     routes: routes.map(route => ({...ROUTE, ...route})),
     services: [],
-    organisations,
+    keyPolicy,
     limits: {
       maximumHeaderBytes: 16_384,
       maximumBodyBytes: 1_000_000,
@@ -93,9 +96,31 @@
   });
 }
 
-test('without organisations no key is required', t => {
-  t.is(index([{}], []).checkKey(ROUTE, null).kind, 'allowed');
-});
+/** Guards against requests without a key once no organisation is left. */
+const KEY_POLICIES: ReadonlyArray<
+  readonly [string, configuration.KeyPolicy, string | null, string]
+> = [
+  ['optional, no key', {kind: 'optional'}, null, 'allowed'],
+  ['optional, a key', {kind: 'optional'}, 'key-1', 'allowed'],
+  [
+    'required, no organisations, no key',
+    {kind: 'required', organisations: []},
+    null,
+    'missing',
+  ],
+  [
+    'required, no organisations, a key',
+    {kind: 'required', organisations: []},
+    'key-1',
+    'unknown',
+  ],
+];
+for (const [name, keyPolicy, key, expected] of KEY_POLICIES) {
+  test(`key check with keys ${name}`, t => {
+    const verdict = index([{}], keyPolicy).checkKey(ROUTE, key);
+    t.is(verdict.kind as string, expected);
+  });
+}
 
 /** Guards against destinations that receive less than their weight. */
 const SPLITS: ReadonlyArray<readonly [string, readonly number[]]> = [
