Begin late requests in a stop only if they end before it in any case

Cause: a nested request began if the estimated time of its route was left. The estimate forgot a long run with each shorter one, and a route without runs counted as short. The calls of peers were decided by a mean run time.

Change: the deadline of the request itself, by its header and the timeout of its route, decides, here and for calls of peers; nested requests begin in any case until 3 s after the signal. Why this works: whatever the target does, the request ends by then, so the end of the stop cannot come first. The estimate is removed. A refusal in a stop is logged with both times.

--- a/packages/host-daemon/src/local-target.ts
+++ b/packages/host-daemon/src/local-target.ts
@@ -99,11 +99,6 @@
     );
   }
 
-  /** Average run time of a call at the backend server, in milliseconds. */
-  get runMs(): number {
-    return this.slots.runMs;
-  }
-
   /** Runs one call. `signal` aborts when its sender has given up. */
   async run(
     call: targetCall.TargetCall,
--- a/packages/host-daemon/src/peer-request-handler.ts
+++ b/packages/host-daemon/src/peer-request-handler.ts
@@ -27,9 +27,6 @@
  */
 const LINK_RESPONSE_RATIO = 0.25;
 
-/** Most calls take less than the average run time times this. */
-const RUN_TIME_MARGIN = 2;
-
 export interface PeerRequestHandlerOptions {
   readonly clock: runtime.Clock;
   readonly service: string;
@@ -123,7 +120,7 @@
     call: transport.IncomingCall,
     link: transport.PeerLink,
   ): Promise<void> {
-    const {clock, local, startedCalls, service} = this.options;
+    const {clock, local, startedCalls, stopSchedule, service} = this.options;
     const {head} = call;
     if (!call.permissionValid || head.service !== service || !head.instance) {
       const reason = call.permissionValid
@@ -133,20 +130,19 @@
       return;
     }
     const nowMs = clock.monotonicMs();
+    const {context, nested = false} = head;
+    const {requestId, remainingMs, organisation, idempotent} = context;
+    const deadlineMs = nowMs + remainingMs;
     // A peer may not know of the stop yet.
-    const {stopSchedule} = this.options;
-    const expectedMs = local.runMs * RUN_TIME_MARGIN;
-    if (!stopSchedule.mayBegin(head.nested ?? false, nowMs, expectedMs)) {
+    if (!stopSchedule.mayBegin({nested, deadlineMs}, nowMs)) {
       this.refuse(call, 'targetLeaving', 0);
       return;
     }
-    const {context} = head;
-    const {requestId, remainingMs, organisation, idempotent} = context;
     const verdict = startedCalls.start(
       requestId,
       head.attempt,
       call.acceptedMs,
-      nowMs + remainingMs + CALL_RETENTION_MARGIN_MS,
+      deadlineMs + CALL_RETENTION_MARGIN_MS,
       nowMs,
     );
     if (verdict !== 'start') {
@@ -176,7 +172,7 @@
         callerService: head.callerService ?? '',
         organisation,
         priority: requestPriority.decodePriority(context),
-        nested: head.nested ?? false,
+        nested,
         idempotent,
         remainingMs,
         objectiveMs: head.objectiveMs ?? remainingMs,
--- a/packages/host-daemon/src/request-handler.ts
+++ b/packages/host-daemon/src/request-handler.ts
@@ -130,7 +130,10 @@
   ): Promise<callerHttpServer.CallerResponse | null> {
     const {clock, limits, stopSchedule, success} = this.options;
     const nested = withoutKey && route.isPublic;
+    const timeoutMs = this.headers.timeoutMs(incoming);
+    const ownDeadlineMs = arrivedMs + Math.min(timeoutMs, route.timeoutMs);
     const entering = {route, organisation, nested};
+    const beginning = {nested, deadlineMs: ownDeadlineMs};
     this.responses.outcomes.noteReceived(entering);
     const refuse = (reason: protocol.RefusalReasonName, remainingMs: number) =>
       this.responses.refuse(
@@ -141,13 +144,23 @@
         0,
         entering,
       );
-    if (!stopSchedule.mayBeginRequest(entering, clock.monotonicMs())) {
-      return refuse('targetLeaving', 0);
+    const nowMs = clock.monotonicMs();
+    if (!stopSchedule.mayBegin(beginning, nowMs)) {
+      const stop = {
+        requestMs: ownDeadlineMs - nowMs,
+        remainingMs: stopSchedule.remainingMs(nowMs),
+      };
+      return this.responses.refuse(
+        requestId,
+        'targetLeaving',
+        0,
+        arrivedMs,
+        0,
+        {...entering, stop},
+      );
     }
-    const timeoutMs = this.headers.timeoutMs(incoming);
     const remainingMs = Math.min(
-      timeoutMs,
-      route.timeoutMs,
+      ownDeadlineMs - arrivedMs,
       stopSchedule.remainingMs(arrivedMs),
     );
     const service = index.nextService(route);
@@ -241,7 +254,7 @@
       signal: incoming.signal,
       turn: incoming.turn,
     };
-    const result = await this.forward(request, scheduling);
+    const result = await this.forward(request, beginning, scheduling);
     noteEnd(result);
     return this.responses.build(request, result, remainingMs);
   }
@@ -252,13 +265,14 @@
    */
   private forward(
     request: routedRequest.RoutedRequest,
+    beginning: stopSchedule.BeginningRequest,
     scheduling: workScheduler.ScheduleOutcome,
   ): Promise<targetCall.CallResult> {
     const {clock, forwarder, stopSchedule} = this.options;
     if (scheduling !== 'start') {
       return Promise.resolve(refusedAtEntry(scheduling));
     }
-    return stopSchedule.mayBeginRequest(request, clock.monotonicMs())
+    return stopSchedule.mayBegin(beginning, clock.monotonicMs())
       ? forwarder.forward(request)
       : Promise.resolve(refusedAtEntry('targetLeaving'));
   }
--- a/packages/host-daemon/src/request-preview.ts
+++ b/packages/host-daemon/src/request-preview.ts
@@ -30,7 +30,7 @@
   /** Absent unless requests without a chance of success are refused. */
   readonly success?: Partial<Pick<requestSuccess.RequestSuccess, 'preview'>>;
   readonly forwarder: Pick<requestForwarder.RequestForwarder, 'previewTargets'>;
-  readonly stopSchedule: Pick<stopSchedule.StopSchedule, 'mayBeginRequest'>;
+  readonly stopSchedule: Pick<stopSchedule.StopSchedule, 'mayBegin'>;
   /** The accounts of the process; not shown if absent. */
   readonly memory?: Pick<bodyMemory.ProcessMemory, 'callers' | 'received'>;
 }
@@ -114,7 +114,8 @@
     const request = {route, organisation, nested, limit};
     const isKeyMissing =
       organisation === null && index.checkKey(route, null).kind === 'missing';
-    const isStopping = !stopSchedule.mayBeginRequest({nested, route}, nowMs);
+    const deadlineMs = nowMs + route.timeoutMs;
+    const isStopping = !stopSchedule.mayBegin({nested, deadlineMs}, nowMs);
     const next = index.peekService(route);
     return {
       kind: 'preview',
--- a/packages/host-daemon/src/response-builder.ts
+++ b/packages/host-daemon/src/response-builder.ts
@@ -9,7 +9,6 @@
 import type * as routedRequest from './routed-request.js';
 import * as requestLogger from './request-logger.js';
 import type * as fleetState from './fleet-state.js';
-import type * as stopSchedule from './stop-schedule.js';
 import * as sheddingFields from './shedding-fields.js';
 import type * as targetCall from './target-call.js';
 
@@ -43,11 +42,21 @@
   readonly priority: number;
 }
 
+/** Why a request was refused because this daemon stops. */
+export interface StopDecision {
+  /** Time for which the request may last, in milliseconds. */
+  readonly requestMs: number;
+  /** Time until its response would be due, in milliseconds. */
+  readonly remainingMs: number;
+}
+
 /** What is known about a request when it is refused. */
 export interface RefusalContext extends requestOutcomes.CountedRequest {
   readonly route: Pick<routing.Route, 'name' | 'priority'> | null;
   readonly service?: string;
   readonly shedding?: SheddingDecision;
+  /** Why it may not begin in a planned stop. */
+  readonly stop?: StopDecision;
 }
 
 /** A request whose caller has left before its answer. */
@@ -70,7 +79,6 @@
   readonly requestLog: requestLogger.RequestLogger;
   readonly binding: httpBinding.HttpBinding;
   readonly state: fleetState.FleetState;
-  readonly stopSchedule: stopSchedule.StopSchedule;
 }
 
 /** Builds, counts and logs the responses to callers. */
@@ -96,9 +104,6 @@
       this.recordAbandoned(request);
       return null;
     }
-    if (result.kind !== 'refused') {
-      this.options.stopSchedule.runTimes.note(request.route, elapsedMs);
-    }
     switch (result.kind) {
       case 'answer':
         this.outcomes.noteAnswer(request, result.status, elapsedMs);
@@ -277,12 +282,22 @@
       elapsedMs: Math.round(elapsedMs),
       retryAfterMs: Math.round(retryAfterMs),
       ...sheddingFields.sheddingFields(context.shedding),
+      ...stopFields(context.stop),
       configuration: state.version,
       configurationAgeMs: Math.round(state.configurationAgeMs(arrivedMs)),
     });
   }
 }
 
+/** Returns the fields of a log line that explain a refusal in a stop. */
+function stopFields(stop: StopDecision | undefined): runtime.LogFields {
+  if (!stop) return {};
+  return {
+    requestMs: Math.round(stop.requestMs),
+    stopRemainingMs: Math.round(stop.remainingMs),
+  };
+}
+
 function refusalStatus(reason: protocol.RefusalReasonName): number {
   const {httpStatus} = protocol.RefusalReason[reason];
   // A deadline that expires before the call has run is an ordinary refusal.
--- a/packages/host-daemon/src/stop-schedule.ts
+++ b/packages/host-daemon/src/stop-schedule.ts
@@ -1,6 +1,3 @@
-import type * as routing from '@camphorwharf/routing';
-import * as runTimes from './run-times.js';
-
 /**
  * Responses ask clients to close their connections from the start of a stop.
  * After this time all clients have done so and the platform has directed new
@@ -8,24 +5,32 @@
  */
 const ACCEPTING_MS = 2_600;
 
-/** Part of the stop time limit that is reserved for closing connections. */
-const CLOSE_RESERVE_MS = 700;
-
 /**
- * Time before the end of a stop from which nested requests are refused as well.
- * Until then they complete the requests that are still running, if their
- * expected time is left.
+ * The same for nested requests. Requests that run when others are refused make
+ * most of their nested requests until then.
  */
-const NESTED_RESERVE_MS = 600;
+const NESTED_ACCEPTING_MS = 3_000;
+
+/** Part of the stop time limit that is reserved for closing connections. */
+const CLOSE_RESERVE_MS = 700;
 
 /** Time for the response at a deadline to reach its client. */
 const RESPONSE_MARGIN_MS = 150;
 
+/** What decides whether a request may begin during a stop. */
+export interface BeginningRequest {
+  /** As in `RoutedRequest`. */
+  readonly nested: boolean;
+  /**
+   * Monotonic time by which the request ends in any case, whatever its target
+   * does: its own deadline or the timeout of its route.
+   */
+  readonly deadlineMs: number;
+}
+
 /** Decides what a daemon still begins while it stops. */
 export class StopSchedule {
   private startedMs: number | null = null;
-  /** Times of the requests that this host has answered. */
-  readonly runTimes = new runTimes.RunTimes();
 
   /** `limitMs` is the time from the stop signal until the process is killed. */
   constructor(private readonly limitMs: number) {}
@@ -47,30 +52,21 @@
 
   /** Monotonic time from which requests of clients and peers are refused. */
   get refuseFromMs(): number {
-    return this.startedMs === null
-      ? Infinity
-      : Math.min(this.startedMs + ACCEPTING_MS, this.endMs);
-  }
-
-  /** Whether work for this request may begin. */
-  mayBeginRequest(
-    request: {readonly nested: boolean; readonly route: routing.Route},
-    nowMs: number,
-  ): boolean {
-    const {nested, route} = request;
-    return this.mayBegin(nested, nowMs, this.runTimes.expectedMs(route));
+    return this.afterStart(ACCEPTING_MS);
   }
 
   /**
-   * Whether work for a request may begin that takes `expectedMs`; `nested` as
-   * in `RoutedRequest`.
+   * Whether work for a request may begin. Nested requests complete the requests
+   * that still run, so they may begin later than others, but not to be cut off:
+   * they must end before the stop in any case. What requests of the route have
+   * taken so far does not tell how long the next one takes.
    */
-  mayBegin(nested: boolean, nowMs: number, expectedMs = 0): boolean {
+  mayBegin({deadlineMs, nested}: BeginningRequest, nowMs: number): boolean {
     if (nowMs < this.refuseFromMs) return true;
+    if (!nested) return false;
     return (
-      nested &&
-      nowMs < this.endMs - NESTED_RESERVE_MS &&
-      expectedMs <= this.remainingMs(nowMs)
+      nowMs < this.afterStart(NESTED_ACCEPTING_MS) ||
+      deadlineMs <= this.answerByMs
     );
   }
 
@@ -79,6 +75,20 @@
    * the connections close, in milliseconds.
    */
   remainingMs(nowMs: number): number {
-    return Math.max(0, this.endMs - RESPONSE_MARGIN_MS - nowMs);
+    return Math.max(0, this.answerByMs - nowMs);
+  }
+
+  private afterStart(milliseconds: number): number {
+    return this.startedMs === null
+      ? Infinity
+      : Math.min(this.startedMs + milliseconds, this.endMs);
+  }
+
+  /**
+   * Monotonic time of a deadline whose response still leaves before the
+   * connections close.
+   */
+  private get answerByMs(): number {
+    return this.endMs - RESPONSE_MARGIN_MS;
   }
 }
