Keep what was used of a limit whose organisation is removed and returns

Not seen in a run of the daemon.

Cause: the limit was dropped with its organisation, so the count of granted requests that each host reports began at 0 again, and the other hosts credited the difference.

Change: removed limits are kept, up to 1,000, and used again when the organisation returns.

--- a/packages/fleet-limits/src/fleet-rate-limits.ts
+++ b/packages/fleet-limits/src/fleet-rate-limits.ts
@@ -15,6 +15,9 @@
  */
 const REPORTS_PER_COMPLETE_REPORT = 16;
 
+/** Limits that are kept after their removal; beyond it the oldest is dropped. */
+const MAXIMUM_REMOVED_LIMITS = 1_000;
+
 /** Minimum age of a process whose bucket levels are adopted. */
 const MINIMUM_ADOPTION_AGE_MS = 3_000;
 
@@ -29,6 +32,14 @@
     string,
     organisationLimit.OrganisationLimit
   >();
+  /**
+   * Limits of organisations that were removed. An organisation may return, and
+   * what it has used still counts then.
+   */
+  private readonly removedLimits = new Map<
+    string,
+    organisationLimit.OrganisationLimit
+  >();
   private readonly reporters = new Map<string, useReport.Reporter>();
   private hasAdoptedLevels = false;
   private reportCount = 0;
@@ -48,24 +59,35 @@
       if (limitSettings.ratePerSecond <= 0) continue;
       configured.add(limitSettings.name);
       const limit = this.limits.get(limitSettings.name);
-      if (limit) {
-        limit.configure(limitSettings);
-        continue;
-      }
-      this.limits.set(
-        limitSettings.name,
-        new organisationLimit.OrganisationLimit(
-          limitSettings,
-          this.random,
-          nowMs,
-        ),
-      );
+      if (limit) limit.configure(limitSettings);
+      else this.add(limitSettings, nowMs);
     }
     for (const name of this.limits.keys()) {
-      if (!configured.has(name)) this.limits.delete(name);
+      if (!configured.has(name)) this.remove(name);
     }
   }
 
+  private add(settings: organisationLimit.LimitSettings, nowMs: number): void {
+    const {name} = settings;
+    const removed = this.removedLimits.get(name);
+    this.removedLimits.delete(name);
+    removed?.configure(settings);
+    const limit =
+      removed ??
+      new organisationLimit.OrganisationLimit(settings, this.random, nowMs);
+    this.limits.set(name, limit);
+  }
+
+  private remove(name: string): void {
+    const limit = this.limits.get(name);
+    if (!limit) return;
+    this.limits.delete(name);
+    this.removedLimits.set(name, limit);
+    if (this.removedLimits.size <= MAXIMUM_REMOVED_LIMITS) return;
+    const [oldest] = this.removedLimits.keys();
+    this.removedLimits.delete(oldest);
+  }
+
   tryTake(organisation: string, nowMs: number): LimitVerdict {
     const limit = this.limits.get(organisation);
     if (!limit) return {kind: 'granted'};
--- a/packages/fleet-limits/src/organisation-limit.ts
+++ b/packages/fleet-limits/src/organisation-limit.ts
@@ -89,7 +89,7 @@
    */
   updateEstimatedUse(use: useReport.ReportedUse): void {
     const {servedTime} = this.bucket;
-    // The served time restarts if the limit was removed and added again.
+    // The served time is shorter if the limit was removed, dropped and added.
     const served = Math.max(0, servedTime - use.servedTime);
     use.estimatedUse += use.demand * served;
     use.servedTime = servedTime;
--- a/packages/fleet-limits/src/test/fleet-rate-limits_test.ts
+++ b/packages/fleet-limits/src/test/fleet-rate-limits_test.ts
@@ -200,6 +200,38 @@
   );
 });
 
+/**
+ * Guards against an organisation that is removed and returns and gets the burst
+ * again that it has just used (found with review/7).
+ */
+const REMOVED_AND_BACK: ReadonlyArray<readonly [string, number, number]> = [
+  ['for half a second', 500, 40],
+  ['for a second, with a large burst', 1_000, 400],
+  ['for longer than a window', 6_000, 400],
+];
+for (const [name, removedMs, burst] of REMOVED_AND_BACK) {
+  test(`use stays within the bound: removed ${name}`, t => {
+    const limit = {...LIMIT, burst};
+    const [removedAtMs, backMs] = [9_000, 9_000 + removedMs];
+    const simulate = (isRemoved: (nowMs: number) => boolean) =>
+      simulation.simulate({
+        hosts: HOSTS,
+        seconds: 20,
+        settings: nowMs => (isRemoved(nowMs) ? null : limit),
+        demand: (_, nowMs) => (nowMs < 8_000 ? 2 : 60),
+      });
+    const outcome = simulate(nowMs => nowMs >= removedAtMs && nowMs < backMs);
+    const bound = simulation.windowBound(limit);
+    t.true(
+      outcome.maximumInWindow <= bound,
+      `${outcome.maximumInWindow} of ${bound}`,
+    );
+    const usual = simulate(() => false).grantedSince(backMs);
+    const granted = outcome.grantedSince(backMs);
+    t.true(granted >= 0.9 * usual, `${granted} of ${usual} granted`);
+  });
+}
+
 const LARGE_FLEET = 195;
 const isInFirstHalf = (host: number) => host < LARGE_FLEET / 2;
 
--- a/packages/fleet-limits/src/test/fleet-simulation.ts
+++ b/packages/fleet-limits/src/test/fleet-simulation.ts
@@ -26,7 +26,8 @@
 export interface Scenario {
   readonly hosts: number;
   readonly seconds: number;
-  readonly settings: (nowMs: number) => rateLimits.LimitSettings;
+  /** Null while the organisation is removed; its requests do not run then. */
+  readonly settings: (nowMs: number) => rateLimits.LimitSettings | null;
   /** Requests per second that arrive at a host. */
   readonly demand: (host: number, nowMs: number) => number;
   /** Returns whether a report from one host reaches another. */
@@ -64,7 +65,7 @@
       nowMs,
       new runtime.SeededRandom(index * 100 + incarnation),
     );
-    limits.configure([scenario.settings(nowMs)], nowMs);
+    limits.configure(listOf(scenario.settings(nowMs)), nowMs);
     return {
       name: `host-${index}`,
       incarnation,
@@ -97,7 +98,9 @@
     hosts.forEach((host, index) => {
       if (nowMs < host.upFromMs) return;
       if (index >= listedCount && !scenario.unlistedServe) return;
-      if (newSettings !== settings) host.limits.configure([newSettings], nowMs);
+      if (newSettings !== settings) {
+        host.limits.configure(listOf(newSettings), nowMs);
+      }
       if (nowMs % 500 === 0 || nowMs === host.upFromMs) {
         host.fleet.setListed(listed, nowMs);
         host.limits.tick(nowMs);
@@ -107,6 +110,7 @@
       while (pendingRequests[index] >= 1) {
         pendingRequests[index] -= 1;
         requested++;
+        if (!newSettings) continue;
         const verdict = host.limits.tryTake(newSettings.name, nowMs);
         if (verdict.kind === 'granted') grantTimes.push(nowMs);
       }
@@ -151,3 +155,9 @@
   });
   return maximum;
 }
+
+function listOf(
+  settings: rateLimits.LimitSettings | null,
+): readonly rateLimits.LimitSettings[] {
+  return settings ? [settings] : [];
+}
