Use the time of a short stop for the requests that run

What callers would see where the grace is shorter than 5.1 s: a request that came with or before SIGTERM is cut off before the last sixth of the grace (LOST), and requests are accepted although hardly any time is left. Found while looking for requests that a stop cuts.

Cause: the reserve for closing connections and the accepting time were fixed.

Change: the reserve and the margin for responses are at most a sixth of the limit, the accepting time at most half. Nothing changes for 6 s and more.

--- a/packages/host-daemon/src/stop-schedule.ts
+++ b/packages/host-daemon/src/stop-schedule.ts
@@ -11,12 +11,22 @@
  */
 const NESTED_ACCEPTING_MS = 3_000;
 
+/** The same as a part of a short time limit, so that accepted requests can end. */
+const MAXIMUM_ACCEPTING_SHARE = 0.5;
+
 /** Part of the stop time limit that is reserved for closing connections. */
 const CLOSE_RESERVE_MS = 700;
 
 /** Time for the response at a deadline to reach its client. */
 const RESPONSE_MARGIN_MS = 150;
 
+/**
+ * Part of the time limit after which no request may be at work: the reserve and
+ * the margin. It may not be longer, so that requests that run long are not cut
+ * off early in a short stop.
+ */
+const MAXIMUM_RESERVED_SHARE = 1 / 6;
+
 /** What decides whether a request may begin during a stop. */
 export interface BeginningRequest {
   /** As in `RoutedRequest`. */
@@ -32,8 +42,16 @@
 export class StopSchedule {
   private startedMs: number | null = null;
 
+  /** Time from the signal until all connections close. */
+  private readonly durationMs: number;
+
   /** `limitMs` is the time from the stop signal until the process is killed. */
-  constructor(private readonly limitMs: number) {}
+  constructor(private readonly limitMs: number) {
+    const maximumReserveMs =
+      limitMs * MAXIMUM_RESERVED_SHARE - RESPONSE_MARGIN_MS;
+    this.durationMs =
+      limitMs - Math.max(0, Math.min(CLOSE_RESERVE_MS, maximumReserveMs));
+  }
 
   begin(nowMs: number): void {
     this.startedMs ??= nowMs;
@@ -47,7 +65,7 @@
   get endMs(): number {
     return this.startedMs === null
       ? Infinity
-      : this.startedMs + this.limitMs - CLOSE_RESERVE_MS;
+      : this.startedMs + this.durationMs;
   }
 
   /** Monotonic time from which requests of clients and peers are refused. */
@@ -78,10 +96,12 @@
     return Math.max(0, this.answerByMs - nowMs);
   }
 
+  /** Monotonic time of a phase of the stop. */
   private afterStart(milliseconds: number): number {
     return this.startedMs === null
       ? Infinity
-      : Math.min(this.startedMs + milliseconds, this.endMs);
+      : this.startedMs +
+          Math.min(milliseconds, this.limitMs * MAXIMUM_ACCEPTING_SHARE);
   }
 
   /**
--- a/packages/host-daemon/src/test/stop-schedule_test.ts
+++ b/packages/host-daemon/src/test/stop-schedule_test.ts
@@ -73,3 +73,19 @@
     ),
   );
 });
+
+/**
+ * Guards against requests that are cut off before the last sixth of a stop, or
+ * accepted when hardly any time is left, where the limit is another one.
+ */
+const LIMITS_MS = [2_000, 3_000, 4_000, 5_000, 6_000, 10_000];
+for (const limitMs of LIMITS_MS) {
+  test(`a stop of ${limitMs} ms uses its time`, t => {
+    const schedule = new stopSchedule.StopSchedule(limitMs);
+    schedule.begin(STARTED_MS);
+    const lastSixthMs = STARTED_MS + (limitMs * 5) / 6;
+    t.true(schedule.remainingMs(STARTED_MS) >= lastSixthMs - STARTED_MS);
+    t.true(schedule.endMs < STARTED_MS + limitMs);
+    t.true(schedule.refuseFromMs <= STARTED_MS + limitMs / 2);
+  });
+}
