Split the admission of requests into steps of its own module

Change: RequestAdmission decides, EnteringRequest and DirectedRequest hold what is known of a request at each step, RequestHandler runs it. The fields that explain a refusal in the log are in refusal-fields.ts. No behaviour changes.

--- a/packages/host-daemon/src/shedding-fields.ts
+++ b/packages/host-daemon/src/refusal-fields.ts
@@ -16,3 +16,14 @@
     priority,
   };
 }
+
+/** Returns the fields of a log line that explain a refusal in a stop. */
+export function stopFields(
+  stop: responseBuilder.StopDecision | undefined,
+): runtime.LogFields {
+  if (!stop) return {};
+  return {
+    requestMs: Math.round(stop.requestMs),
+    stopRemainingMs: Math.round(stop.remainingMs),
+  };
+}
--- a/packages/host-daemon/src/request-handler.ts
+++ b/packages/host-daemon/src/request-handler.ts
@@ -3,11 +3,13 @@
 import type * as protocol from '@camphorwharf/protocol';
 import type * as routing from '@camphorwharf/routing';
 import type * as runtime from '@camphorwharf/runtime';
-import type * as httpBinding from './http-binding.js';
+import type * as bodyMemory from './body-memory.js';
 import * as bodyRefusals from './body-refusals.js';
-import * as responseBuilder from './response-builder.js';
 import type * as callerHttpServer from './caller-http-server.js';
-import type * as bodyMemory from './body-memory.js';
+import type * as enteringRequest from './entering-request.js';
+import type * as httpBinding from './http-binding.js';
+import * as requestAdmission from './request-admission.js';
+import type * as requestBody from './request-body.js';
 import * as requestHeaders from './request-headers.js';
 import type * as routedRequest from './routed-request.js';
 import type * as requestLogger from './request-logger.js';
@@ -17,7 +19,7 @@
 import type * as requestCosts from './request-costs.js';
 import * as requestPreview from './request-preview.js';
 import type * as requestSuccess from './request-success.js';
-import * as requestPriority from './request-priority.js';
+import * as responseBuilder from './response-builder.js';
 import * as sheddingDecider from './shedding-decider.js';
 import type * as stopSchedule from './stop-schedule.js';
 import type * as workScheduler from './work-scheduler.js';
@@ -66,7 +68,7 @@
 export class RequestHandler {
   private readonly responses: responseBuilder.ResponseBuilder;
   private readonly bodyRefusals: bodyRefusals.BodyRefusals;
-  private readonly shedding: sheddingDecider.SheddingDecider;
+  private readonly admission: requestAdmission.RequestAdmission;
   private readonly headers: requestHeaders.RequestHeaders;
   readonly preview: requestPreview.RequestPreview;
 
@@ -76,9 +78,13 @@
       this.responses,
       options.metrics,
     );
-    this.shedding = new sheddingDecider.SheddingDecider(options);
+    const shedding = new sheddingDecider.SheddingDecider(options);
+    this.admission = new requestAdmission.RequestAdmission(
+      options,
+      this.responses,
+      shedding,
+    );
     this.headers = new requestHeaders.RequestHeaders(options.binding);
-    const {shedding} = this;
     this.preview = new requestPreview.RequestPreview({...options, shedding});
   }
 
@@ -106,111 +112,49 @@
         return this.refuseInvalid(requestId, 'keyMissing', arrivedMs, route);
       case 'unknown':
         return this.refuseInvalid(requestId, 'keyUnknown', arrivedMs, route);
-      case 'allowed':
-        return this.admit(
+      case 'allowed': {
+        const timeoutMs = this.headers.timeoutMs(incoming);
+        const entering = {
           incoming,
           requestId,
-          index,
           route,
-          verdict.organisation,
-          key === null,
+          organisation: verdict.organisation,
+          nested: key === null && route.isPublic,
           arrivedMs,
-        );
+          timeoutMs,
+          ownDeadlineMs: arrivedMs + Math.min(timeoutMs, route.timeoutMs),
+        };
+        return this.enter(entering, index);
+      }
     }
   }
 
-  private async admit(
-    incoming: callerHttpServer.IncomingRequest,
-    requestId: string,
+  /** Admits a request and runs it, or refuses it. */
+  private async enter(
+    entering: enteringRequest.EnteringRequest,
     index: routing.ConfigurationIndex,
-    route: routing.Route,
-    organisation: routing.Organisation | null,
-    withoutKey: boolean,
-    arrivedMs: number,
   ): Promise<callerHttpServer.CallerResponse | null> {
-    const {clock, limits, stopSchedule, success} = this.options;
-    const nested = withoutKey && route.isPublic;
-    const timeoutMs = this.headers.timeoutMs(incoming);
-    const ownDeadlineMs = arrivedMs + Math.min(timeoutMs, route.timeoutMs);
-    const entering = {route, organisation, nested};
-    const beginning = {nested, deadlineMs: ownDeadlineMs};
     this.responses.outcomes.noteReceived(entering);
-    const refuse = (reason: protocol.RefusalReasonName, remainingMs: number) =>
-      this.responses.refuse(
-        requestId,
-        reason,
-        remainingMs,
-        arrivedMs,
-        0,
-        entering,
-      );
-    const nowMs = clock.monotonicMs();
-    if (!stopSchedule.mayBegin(beginning, nowMs)) {
-      const stop = {
-        requestMs: ownDeadlineMs - nowMs,
-        remainingMs: stopSchedule.remainingMs(nowMs),
-      };
-      return this.responses.refuse(
-        requestId,
-        'targetLeaving',
-        0,
-        arrivedMs,
-        0,
-        {...entering, stop},
-      );
-    }
-    const remainingMs = Math.min(
-      ownDeadlineMs - arrivedMs,
-      stopSchedule.remainingMs(arrivedMs),
-    );
-    const service = index.nextService(route);
-    if (service === null) return refuse('noTarget', remainingMs);
-    const directed = {...entering, service};
-    const priority = requestPriority.requestPriority(organisation, route);
-    const refuseShed = (shedding: responseBuilder.SheddingDecision) =>
-      this.responses.refuse(
-        requestId,
-        'overloaded',
-        remainingMs,
-        arrivedMs,
-        sheddingDecider.retryAfterMs(shedding, route),
-        {...directed, shedding},
-      );
-    const shedding = nested
-      ? null
-      : this.shedding.decide({route, service, organisation, priority});
-    if (shedding) return refuseShed(shedding);
-    if (organisation) {
-      const grant = limits.tryTake(organisation.name, clock.monotonicMs());
-      if (grant.kind === 'refused') {
-        return this.responses.refuse(
-          requestId,
-          'limitExceeded',
-          remainingMs,
-          arrivedMs,
-          grant.retryAfterMs,
-          directed,
-        );
-      }
-    }
-    const decision = nested
-      ? null
-      : success?.decide({route: route.name, priority});
-    if (decision?.kind === 'refuse') {
-      if (organisation) limits.refund(organisation.name);
-      return refuseShed(sheddingDecider.lowSuccess(decision, priority));
-    }
-    const noteEnd = (result: targetCall.CallResult | null) => {
-      if (decision) success?.noteEnd(route, decision.start, result);
-      if (organisation && (result === null || result.kind === 'refused')) {
-        limits.refund(organisation.name);
-      }
-    };
-    const contentLength = this.headers.contentLength(incoming);
+    const direction = this.admission.direct(entering, index);
+    if (direction.kind === 'refused') return direction.response;
+    const {request} = direction;
+    const admission = this.admission.admit(request);
+    if (admission.kind === 'refused') return admission.response;
     const {maximumBodyBytes} = index.configuration.limits;
+    return this.run(request, maximumBodyBytes, admission.noteEnd);
+  }
+
+  /** Receives the body of an admitted request and forwards the request. */
+  private async run(
+    request: enteringRequest.DirectedRequest,
+    maximumBodyBytes: number,
+    noteEnd: requestAdmission.NoteEnd,
+  ): Promise<callerHttpServer.CallerResponse | null> {
+    const {arrivedMs, incoming, remainingMs, requestId, route} = request;
+    const contentLength = this.headers.contentLength(incoming);
     if ((contentLength ?? 0) > maximumBodyBytes) {
       noteEnd(null);
-      return this.bodyRefusals.refuseTooLong(requestId, arrivedMs, directed);
+      return this.bodyRefusals.refuseTooLong(requestId, arrivedMs, request);
     }
     const bodyResult = await incoming.readBody(maximumBodyBytes);
     if (bodyResult.kind !== 'body') {
@@ -220,43 +164,51 @@
         requestId,
         remainingMs,
         arrivedMs,
-        directed,
+        request,
       );
     }
     if (!route.idempotent) await incoming.untilEarlierAnswered();
-    const deadlineMs = arrivedMs + remainingMs;
     const scheduling = await this.options.scheduler.schedule(
       'entry',
       incoming.signal,
-      deadlineMs,
+      arrivedMs + remainingMs,
       incoming.isFirstOnConnection,
     );
     if (scheduling === 'cancelled') {
       noteEnd(null);
-      this.responses.recordAbandoned({...directed, requestId, arrivedMs});
+      this.responses.recordAbandoned(request);
       return null;
     }
-    const request: routedRequest.RoutedRequest = {
-      requestId,
+    const routed = this.routedRequest(request, bodyResult.body, contentLength);
+    const result = await this.forward(routed, request, scheduling);
+    noteEnd(result);
+    return this.responses.build(routed, result, remainingMs);
+  }
+
+  private routedRequest(
+    request: enteringRequest.DirectedRequest,
+    body: requestBody.RequestBody,
+    contentLength: number | null,
+  ): routedRequest.RoutedRequest {
+    const {arrivedMs, incoming, remainingMs, timeoutMs} = request;
+    return {
+      requestId: request.requestId,
       method: incoming.method,
       path: incoming.path,
       headers: this.headers.forwarded(incoming.rawHeaders),
-      body: bodyResult.body,
+      body,
       contentLength,
-      route,
-      service,
-      organisation,
-      nested,
-      priority,
-      deadlineMs,
+      route: request.route,
+      service: request.service,
+      organisation: request.organisation,
+      nested: request.nested,
+      priority: request.priority,
+      deadlineMs: arrivedMs + remainingMs,
       clientDeadlineMs: arrivedMs + timeoutMs,
       arrivedMs,
       signal: incoming.signal,
       turn: incoming.turn,
     };
-    const result = await this.forward(request, beginning, scheduling);
-    noteEnd(result);
-    return this.responses.build(request, result, remainingMs);
   }
 
   /**
@@ -264,16 +216,15 @@
    * after its head.
    */
   private forward(
-    request: routedRequest.RoutedRequest,
-    beginning: stopSchedule.BeginningRequest,
+    routed: routedRequest.RoutedRequest,
+    request: enteringRequest.EnteringRequest,
     scheduling: workScheduler.ScheduleOutcome,
   ): Promise<targetCall.CallResult> {
-    const {clock, forwarder, stopSchedule} = this.options;
     if (scheduling !== 'start') {
       return Promise.resolve(refusedAtEntry(scheduling));
     }
-    return stopSchedule.mayBegin(beginning, clock.monotonicMs())
-      ? forwarder.forward(request)
+    return this.admission.mayBegin(request)
+      ? this.options.forwarder.forward(routed)
       : Promise.resolve(refusedAtEntry('targetLeaving'));
   }
 
--- a/packages/host-daemon/src/response-builder.ts
+++ b/packages/host-daemon/src/response-builder.ts
@@ -9,7 +9,7 @@
 import type * as routedRequest from './routed-request.js';
 import * as requestLogger from './request-logger.js';
 import type * as fleetState from './fleet-state.js';
-import * as sheddingFields from './shedding-fields.js';
+import * as refusalFields from './refusal-fields.js';
 import type * as targetCall from './target-call.js';
 
 /** Upper bound of Retry-After as a fraction of the client's remaining time. */
@@ -281,23 +281,14 @@
       nested: context.route ? context.nested : null,
       elapsedMs: Math.round(elapsedMs),
       retryAfterMs: Math.round(retryAfterMs),
-      ...sheddingFields.sheddingFields(context.shedding),
-      ...stopFields(context.stop),
+      ...refusalFields.sheddingFields(context.shedding),
+      ...refusalFields.stopFields(context.stop),
       configuration: state.version,
       configurationAgeMs: Math.round(state.configurationAgeMs(arrivedMs)),
     });
   }
 }
 
-/** Returns the fields of a log line that explain a refusal in a stop. */
-function stopFields(stop: StopDecision | undefined): runtime.LogFields {
-  if (!stop) return {};
-  return {
-    requestMs: Math.round(stop.requestMs),
-    stopRemainingMs: Math.round(stop.remainingMs),
-  };
-}
-
 function refusalStatus(reason: protocol.RefusalReasonName): number {
   const {httpStatus} = protocol.RefusalReason[reason];
   // A deadline that expires before the call has run is an ordinary refusal.
